--- a/src/main/java/canvaspaddle/Main.java
+++ b/src/main/java/canvaspaddle/Main.java
@@ -1,9 +1,8 @@
 package canvaspaddle;
 
-import canvaspaddle.wire.Drill;
-import java.io.IOException;
+import mothwing.cli.Commands;
 
-/** The command line: {@code drill} answers event lines on standard input with action lines. */
+/** The program: hands its arguments to the command line. */
 public final class Main {
     private Main() {
     }
@@ -11,14 +10,10 @@
     /**
      * Runs the named command.
      *
-     * @param arguments exactly one word, {@code drill}
-     * @throws IOException when standard input or output breaks
+     * @param arguments a sub-command with its options
+     * @throws Exception when a command breaks
      */
-    public static void main(String[] arguments) throws IOException {
-        if (arguments.length != 1 || !arguments[0].equals("drill")) {
-            System.err.println("usage: java -jar canvaspaddle.jar drill");
-            System.exit(2);
-        }
-        System.exit(new Drill(System.in, System.out, System.err).run());
+    public static void main(String[] arguments) throws Exception {
+        System.exit(Commands.run(arguments, System.in, System.out, System.err));
     }
 }
--- a/src/main/java/canvaspaddle/wire/ActionWriter.java
+++ b/src/main/java/canvaspaddle/wire/ActionWriter.java
@@ -1,16 +1,13 @@
 package canvaspaddle.wire;
 
 import canvaspaddle.OverloadControl.Host;
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
+import com.google.gson.stream.JsonWriter;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 
 /** Writes the actions of one instance, as the elements of a JSON array, in the order in which they come. */
 final class ActionWriter implements Host {
-    private static final JsonFactory FACTORY = new JsonFactory();
-
     private final long who;
     private final StringBuilder written = new StringBuilder();
 
@@ -20,17 +17,17 @@
 
     /** Writes the fields of an action after its name and instance. */
     private interface Body {
-        void write(JsonGenerator json) throws IOException;
+        void write(JsonWriter json) throws IOException;
     }
 
     private void action(String name, Body body) {
         StringWriter text = new StringWriter();
-        try (JsonGenerator json = FACTORY.createGenerator(text)) {
-            json.writeStartObject();
-            json.writeStringField("what", name);
-            json.writeNumberField("Who", who);
+        try (JsonWriter json = new JsonWriter(text)) {
+            json.beginObject();
+            json.name("what").value(name);
+            json.name("Who").value(who);
             body.write(json);
-            json.writeEndObject();
+            json.endObject();
         } catch (IOException broken) {
             throw new UncheckedIOException(broken);
         }
@@ -41,7 +38,7 @@
     }
 
     private void named(String name, String id) {
-        action(name, json -> json.writeStringField("Job", id));
+        action(name, json -> json.name("Job").value(id));
     }
 
     /** What was written since the last call. */
@@ -52,7 +49,7 @@
     }
 
     void exception(String text) {
-        action("Exception", json -> json.writeStringField("What", text));
+        action("Exception", json -> json.name("What").value(text));
     }
 
     @Override
@@ -63,8 +60,8 @@
     @Override
     public void call(String id, long until) {
         action("AskBelow", json -> {
-            json.writeStringField("Job", id);
-            json.writeNumberField("TryUntil", until);
+            json.name("Job").value(id);
+            json.name("TryUntil").value(until);
         });
     }
 
@@ -81,12 +78,12 @@
     @Override
     public void refuse(String id, boolean dontRetry, long stayAway) {
         action("Bounce", json -> {
-            json.writeStringField("Job", id);
+            json.name("Job").value(id);
             if (dontRetry) {
-                json.writeBooleanField("DontRetry", true);
+                json.name("DontRetry").value(true);
             }
             if (stayAway > 0) {
-                json.writeNumberField("Pause", stayAway);
+                json.name("Pause").value(stayAway);
             }
         });
     }
@@ -99,8 +96,8 @@
     @Override
     public void remember(String id, long span) {
         action("Remember", json -> {
-            json.writeStringField("Job", id);
-            json.writeNumberField("Lifetime", span);
+            json.name("Job").value(id);
+            json.name("Lifetime").value(span);
         });
     }
 
@@ -117,31 +114,31 @@
     @Override
     public void timer(long at, String tag) {
         action("Timer", json -> {
-            json.writeNumberField("Time", at);
-            json.writeStringField("Tag", tag);
+            json.name("Time").value(at);
+            json.name("Tag").value(tag);
         });
     }
 
     @Override
     public void say(double value) {
-        action("Stamp", json -> json.writeNumberField("X", value));
+        action("Stamp", json -> json.name("X").value(value));
     }
 
     @Override
     public void health(boolean cheap, boolean good) {
         action("Health", json -> {
-            json.writeBooleanField("Cheap", cheap);
-            json.writeBooleanField("Want", good);
+            json.name("Cheap").value(cheap);
+            json.name("Want").value(good);
         });
     }
 
     @Override
     public void trimIdle(long span) {
-        action("TrimAfter", json -> json.writeNumberField("Lifetime", span));
+        action("TrimAfter", json -> json.name("Lifetime").value(span));
     }
 
     @Override
     public void log(String text) {
-        action("Log", json -> json.writeStringField("What", text));
+        action("Log", json -> json.name("What").value(text));
     }
 }
--- a/src/main/java/canvaspaddle/wire/Drill.java
+++ b/src/main/java/canvaspaddle/wire/Drill.java
@@ -1,31 +1,30 @@
 package canvaspaddle.wire;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+import com.google.gson.stream.MalformedJsonException;
 import java.io.BufferedReader;
 import java.io.BufferedWriter;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.io.OutputStreamWriter;
 import java.io.PrintStream;
+import java.io.StringReader;
 import java.io.Writer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import mothwing.settings.BadInput;
+import mothwing.settings.Fields;
+import mothwing.settings.SettingsCodec;
 
 /** Answers batches of events, one JSON line each, with one JSON line of actions each, until the input ends. */
 public final class Drill {
-    private static final JsonFactory FACTORY = JsonFactory.builder()
-            .streamReadConstraints(StreamReadConstraints.builder().maxStringLength(Integer.MAX_VALUE).build())
-            .build();
-
     private final BufferedReader input;
     private final Writer output;
     private final PrintStream complaints;
@@ -61,8 +60,8 @@
             } catch (BadInput bad) {
                 complaints.println("line " + number + ": " + bad.getMessage());
                 return 1;
-            } catch (JsonProcessingException notJson) {
-                complaints.println("line " + number + ": not a JSON value: " + notJson.getOriginalMessage());
+            } catch (MalformedJsonException | EOFException notJson) {
+                complaints.println("line " + number + ": not a JSON value: " + notJson.getMessage());
                 return 1;
             }
             output.write(reply);
@@ -74,12 +73,12 @@
 
     private String batch(String line) throws IOException {
         Fields batch;
-        try (JsonParser parser = FACTORY.createParser(line)) {
-            if (parser.nextToken() != JsonToken.START_OBJECT) {
+        try (JsonReader parser = new JsonReader(new StringReader(line))) {
+            if (parser.peek() != JsonToken.BEGIN_OBJECT) {
                 throw new BadInput("not a JSON object");
             }
             batch = Fields.read(parser);
-            if (parser.nextToken() != null) {
+            if (parser.peek() != JsonToken.END_DOCUMENT) {
                 throw new BadInput("more than one JSON value");
             }
         }
@@ -109,7 +108,8 @@
             return;
         }
         if (what.equals("PowerOn")) {
-            Instance life = new Instance(who, SettingsCodec.read(event));
+            Instance life = new Instance(who, SettingsCodec.read(event.whole("Seed", 0),
+                    event.requiredInner("Options")));
             instances.put(who, life);
             guard(who, life, () -> life.controller().started(now));
             return;
--- a/src/main/java/canvaspaddle/wire/Instance.java
+++ b/src/main/java/canvaspaddle/wire/Instance.java
@@ -9,6 +9,8 @@
 import canvaspaddle.OverloadControl.Tenant;
 import java.util.HashMap;
 import java.util.Map;
+import mothwing.settings.BadInput;
+import mothwing.settings.Fields;
 
 /** One life of one instance: its controller, the names it knows, and the actions of the batch in hand. */
 final class Instance {
--- /dev/null
+++ b/src/main/java/mothwing/announce/Announcer.java
@@ -0,0 +1,79 @@
+package mothwing.announce;
+
+import java.util.function.BooleanSupplier;
+import mothwing.broker.Counters;
+import mothwing.broker.Log;
+import mothwing.broker.Timers;
+import mothwing.net.Dialer;
+
+/** Keeps this shop server listed: a report every second, over a connection that is opened again when it breaks. */
+public final class Announcer {
+    static final long PERIOD = 1_000_000;
+
+    private final Dialer dialer;
+    private final String name;
+    private final BooleanSupplier accepting;
+    private final Timers timers;
+    private final Counters counters;
+    private final Log log;
+    private ReportLink link;
+    private boolean dialing;
+    private boolean stopped;
+
+    /**
+     * Makes an announcer that does not report yet.
+     *
+     * @param dialer opens connections to the announce service
+     * @param name this shop server's name
+     * @param accepting whether requests are taken
+     * @param timers the clocks
+     * @param counters counts what happens
+     * @param log takes lines of the log
+     */
+    public Announcer(Dialer dialer, String name, BooleanSupplier accepting, Timers timers, Counters counters,
+            Log log) {
+        this.dialer = dialer;
+        this.name = name;
+        this.accepting = accepting;
+        this.timers = timers;
+        this.counters = counters;
+        this.log = log;
+    }
+
+    /** Reports now, and every second from now on. */
+    public void start() {
+        if (stopped) {
+            return;
+        }
+        timers.at(timers.now() + PERIOD, this::start);
+        if (link != null) {
+            link.report(accepting.getAsBoolean());
+        } else if (!dialing) {
+            dialing = true;
+            dialer.dial(() -> new ReportLink(this, name, log, counters), () -> {
+                dialing = false;
+                counters.add("announce-unreached");
+            });
+        }
+    }
+
+    /** Reports no more: this shop server is taken off the list. */
+    public void stop() {
+        stopped = true;
+        if (link != null) {
+            link.close(mothwing.net.Reason.DRAIN, "");
+        }
+    }
+
+    void opened(ReportLink opened) {
+        dialing = false;
+        link = opened;
+        link.report(accepting.getAsBoolean());
+    }
+
+    void ended(ReportLink ended) {
+        if (link == ended) {
+            link = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/announce/ReportLink.java
@@ -0,0 +1,114 @@
+package mothwing.announce;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import mothwing.broker.Counters;
+import mothwing.broker.Log;
+import mothwing.net.Connection;
+import mothwing.net.Malformed;
+import mothwing.net.Reason;
+
+/** One connection to the announce service: reports as HTTP/1.1 calls, one at a time. */
+final class ReportLink extends Connection {
+    static final int MOST_ANSWER = 8 << 10;
+
+    private static final String END_OF_HEAD = "\r\n\r\n";
+    private static final int NO_CONTENT = 204;
+    private static final int MOST_MISSED = 3; // periods without an answer, after which the link is opened anew
+
+    private final Announcer announcer;
+    private final String name;
+    private int waiting;
+
+    ReportLink(Announcer announcer, String name, Log log, Counters counters) {
+        super("announce", MOST_ANSWER, log, counters);
+        this.announcer = announcer;
+        this.name = name;
+    }
+
+    @Override
+    protected void opened() {
+        announcer.opened(this);
+    }
+
+    @Override
+    protected void ended() {
+        announcer.ended(this);
+    }
+
+    /** Reports, unless the last report is still unanswered. */
+    void report(boolean accepting) {
+        if (waiting > 0) {
+            waiting++;
+            if (waiting > MOST_MISSED) {
+                announcer.ended(this);
+                close(Reason.NO_ANSWER, "");
+            }
+            return;
+        }
+        waiting = 1;
+        String body = "{\"accepting\":\"" + accepting + "\"}";
+        String call = "PUT /announce/" + name + " HTTP/1.1\r\nHost: announce\r\nContent-Type: application/json\r\n"
+                + "Content-Length: " + body.length() + END_OF_HEAD + body;
+        ByteBuf out = room(call.length());
+        out.writeCharSequence(call, StandardCharsets.US_ASCII);
+        count("reports");
+        send(out);
+    }
+
+    @Override
+    protected boolean take(ByteBuf in) throws Malformed {
+        String text = in.toString(StandardCharsets.ISO_8859_1);
+        int end = text.indexOf(END_OF_HEAD);
+        if (end < 0) {
+            return false;
+        }
+        String[] lines = text.substring(0, end).split("\r\n");
+        int status = status(lines[0]);
+        int length = 0;
+        boolean closes = false;
+        for (String line : lines) {
+            String field = line.toLowerCase(Locale.ROOT);
+            if (field.startsWith("content-length:")) {
+                length = whole(field.substring("content-length:".length()).strip());
+            } else if (field.startsWith("connection:")) {
+                closes = field.contains("close");
+            } else if (field.startsWith("transfer-encoding:")) {
+                closes = true; // no answer of the announce service has a body; its end is not looked for
+            }
+        }
+        int whole = end + END_OF_HEAD.length() + (status == NO_CONTENT ? 0 : length);
+        if (text.length() < whole && !closes) {
+            return false;
+        }
+        in.skipBytes(Math.min(whole, text.length()));
+        waiting = 0;
+        count("answered-" + (status == NO_CONTENT ? "" + NO_CONTENT : "other"));
+        if (closes) {
+            announcer.ended(this);
+            close(Reason.ASKED, "");
+        }
+        return true;
+    }
+
+    private static int status(String line) throws Malformed {
+        String[] words = line.split(" ");
+        if (words.length < 2 || !words[0].startsWith("HTTP/1.")) {
+            throw new Malformed(Reason.MALFORMED, "no status line");
+        }
+        return whole(words[1]);
+    }
+
+    private static int whole(String text) throws Malformed {
+        try {
+            int value = Integer.parseInt(text);
+            if (value >= 0 && value <= MOST_ANSWER) {
+                return value;
+            }
+        } catch (NumberFormatException notOne) {
+            // falls through to the complaint
+        }
+        throw new Malformed(Reason.MALFORMED, "a number is out of range");
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/broker/Arrival.java
@@ -0,0 +1,108 @@
+package mothwing.broker;
+
+import java.util.Locale;
+import java.util.regex.Pattern;
+
+/**
+ * A request as a front read it: the fields that decisions need, and the body as it came.
+ *
+ * @param id its name, new with every try
+ * @param acceptedAtMs when it came to the machine, in Unix milliseconds
+ * @param caller the number of the gateway, or -1 where it was not told
+ * @param tenant the tenant's name, or an empty word
+ * @param kind the name of its class
+ * @param again whether it is marked as a further try
+ * @param reserveKb memory booked for it while it is held
+ * @param rank its rank, from 0 to under 1
+ * @param subject what a read is about, or null
+ * @param body the body as it came
+ */
+public record Arrival(String id, long acceptedAtMs, int caller, String tenant, String kind, boolean again,
+        double reserveKb, double rank, String subject, byte[] body) {
+    /** Most bytes of a body. */
+    public static final int MOST_BODY = 2048;
+
+    private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
+    private static final double MOST_RESERVE = 2000;
+
+    /** A request whose fields cannot be understood; the message is its reason code. */
+    public static final class Bad extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Bad(String code) {
+            super(code, null, false, false);
+        }
+    }
+
+    /** Takes fields by name as a front meets them; names it does not know are passed over. */
+    public static final class Fields {
+        private String id = "";
+        private String accepted = "";
+        private String caller = "";
+        private String tenant = "";
+        private String again = "";
+        private String reserve = "";
+        private String rank = "";
+        private String subject;
+
+        /**
+         * Takes one field.
+         *
+         * @param name its name as in the protocol's table, in any case
+         * @param value its text
+         */
+        public void set(String name, String value) {
+            switch (name.toLowerCase(Locale.ROOT)) {
+                case "trace-id" -> id = value;
+                case "accepted-at-ms" -> accepted = value;
+                case "client-no" -> caller = value;
+                case "project" -> tenant = value;
+                case "is-retry" -> again = value;
+                case "reserve-kb" -> reserve = value;
+                case "standing" -> rank = value;
+                case "lookup-key" -> subject = value;
+                default -> { }
+            }
+        }
+
+        /**
+         * Makes the request of what was taken.
+         *
+         * @param path the path it was sent to, {@code /call/CLASS}
+         * @param body its body
+         * @return the request
+         * @throws Bad where a field is missing or makes no sense
+         */
+        public Arrival at(String path, byte[] body) throws Bad {
+            if (!path.startsWith("/call/")) {
+                throw new Bad("bad-path");
+            }
+            if (!ID.matcher(id).matches()) {
+                throw new Bad("bad-trace-id");
+            }
+            double kb = number(reserve, "bad-reserve-kb");
+            double standing = number(rank, "bad-standing");
+            double at = number(accepted, "bad-accepted-at-ms");
+            if (!(kb > 0 && kb < MOST_RESERVE)) {
+                throw new Bad("bad-reserve-kb");
+            }
+            if (!(standing >= 0 && standing < 1)) {
+                throw new Bad("bad-standing");
+            }
+            if (!(at >= 0 && at < Long.MAX_VALUE / 2e3)) {
+                throw new Bad("bad-accepted-at-ms");
+            }
+            int number = caller.isEmpty() ? -1 : (int) number(caller, "bad-client-no");
+            return new Arrival(id, (long) at, number, tenant, path.substring("/call/".length()),
+                    again.equals("1"), kb, standing, subject, body);
+        }
+
+        private static double number(String text, String code) throws Bad {
+            try {
+                return Double.parseDouble(text);
+            } catch (NumberFormatException notOne) {
+                throw new Bad(code);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -0,0 +1,569 @@
+package mothwing.broker;
+
+import canvaspaddle.OverloadControl.Controller;
+import canvaspaddle.OverloadControl.Halting;
+import canvaspaddle.OverloadControl.Host;
+import canvaspaddle.OverloadControl.Machine;
+import canvaspaddle.OverloadControl.Outcome;
+import canvaspaddle.OverloadControl.Repeats;
+import canvaspaddle.OverloadControl.Request;
+import canvaspaddle.OverloadControl.RequestClass;
+import canvaspaddle.OverloadControl.Settings;
+import canvaspaddle.OverloadControl.Tenant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+
+/**
+ * The core: it owns every open request, gives the controller its events in batches a round apart, and carries
+ * out what the controller asks for. Fronts bring requests and the callers' leaving; the pool brings the ends of
+ * runs and the gauges. It knows no wire, and all of it happens on one thread.
+ */
+public final class Broker implements Host {
+    /** Most requests open at once; what comes beyond is refused unread by the controller. */
+    public static final int MOST_OPEN = 4096;
+    /** Most deep health checks in hand; what comes beyond fails. */
+    static final int MOST_CHECKS = 64;
+
+    private static final long MILLI = 1000;
+    private static final long GAUGES_WAIT = 500 * MILLI; // over a stall of the machine, which holds timers off
+    private static final long CHECK_WAIT = 2000 * MILLI;
+    private static final long WATCH = 20 * MILLI; // between looks at due times
+
+    /** One event for the controller. */
+    private interface Event {
+        void give(Controller controller, long now);
+    }
+
+    private record Check(Consumer<Boolean> answer, long until) { }
+
+    private final Settings told;
+    private final BiFunction<Settings, Host, Controller> maker;
+    private final Workers workers;
+    private final Timers timers;
+    private final Counters counters;
+    private final Log log;
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Integer> tenants = new HashMap<>();
+    private final Map<String, Exchange> open = new LinkedHashMap<>();
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private final Map<String, String> ticks = new LinkedHashMap<>();
+    private final Map<String, Check> checks = new LinkedHashMap<>();
+    private Controller controller;
+    private double[] gauges;
+    private boolean batchAsked;
+    private long lastBatch = Long.MIN_VALUE / 2;
+    private long polls;
+    private long answeredPolls;
+    private double said;
+    private boolean checkCheap;
+    private boolean checkGood = true;
+    private boolean draining;
+    private long noticeAt;
+    private Consumer<Long> trimmer = span -> { };
+
+    /**
+     * Makes a broker; the controller is made when the pool says how it started.
+     *
+     * @param settings the settings of the site
+     * @param maker makes the controller
+     * @param workers the pool
+     * @param timers the clocks
+     * @param counters counts what happens
+     * @param log takes lines of the log
+     */
+    public Broker(Settings settings, BiFunction<Settings, Host, Controller> maker, Workers workers, Timers timers,
+            Counters counters, Log log) {
+        this.told = settings;
+        this.maker = maker;
+        this.workers = workers;
+        this.timers = timers;
+        this.counters = counters;
+        this.log = log;
+        for (RequestClass one : settings.classes()) {
+            if (one.repeats() == Repeats.GUARDED || one.calls()) {
+                throw new IllegalArgumentException("class " + one.name()
+                        + ": the protocol carries neither marks of repeats nor calls");
+            }
+            classes.put(one.name(), classes.size());
+        }
+        for (Tenant one : settings.tenants()) {
+            tenants.put(one.name(), tenants.size());
+        }
+        gauges = new double[settings.machine().gauges().size()];
+    }
+
+    /**
+     * Says who closes idle connections.
+     *
+     * @param closer takes the idle span in microseconds
+     */
+    public void trimWith(Consumer<Long> closer) {
+        trimmer = closer;
+    }
+
+    // what fronts bring
+
+    /**
+     * Takes a request that was read whole.
+     *
+     * @param arrival the request
+     * @param caller the way back
+     * @return its exchange
+     */
+    public Exchange read(Arrival arrival, Caller caller) {
+        counters.add("read");
+        long now = timers.now();
+        long unread = Math.max(0, (timers.wallMs() - arrival.acceptedAtMs()) * MILLI);
+        Integer place = classes.get(arrival.kind());
+        long deadline = place == null ? 0 : told.classes().get(place).deadline();
+        boolean repeatable = place != null && told.classes().get(place).repeats() == Repeats.SAFE;
+        Exchange exchange = new Exchange(arrival, caller, repeatable, now - unread, now - unread + deadline);
+        if (place == null) {
+            fail(exchange, "unknown-class");
+        } else if (open.containsKey(arrival.id())) {
+            fail(exchange, "repeated-trace-id");
+        } else if (controller == null) {
+            refuse(exchange, "not-ready", false, 0);
+        } else if (open.size() >= MOST_OPEN) {
+            refuse(exchange, "table-full", false, told.signals().longestAdvice() / MILLI);
+        } else {
+            open.put(arrival.id(), exchange);
+            event((to, at) -> {
+                exchange.held();
+                to.read(at, new Request(arrival.id(), place, tenants.getOrDefault(arrival.tenant(), -1), 0,
+                        at - exchange.arrivedAt(), arrival.subject(), arrival.reserveKb(), null, arrival.rank(),
+                        0, !repeatable));
+            });
+        }
+        return exchange;
+    }
+
+    /**
+     * The caller of a request has left.
+     *
+     * @param exchange the request
+     */
+    public void gone(Exchange exchange) {
+        if (!exchange.gone()) {
+            return;
+        }
+        counters.add("gone");
+        String id = exchange.arrival().id();
+        if (open.get(id) == exchange) {
+            event((to, at) -> {
+                if (!exchange.inPool()) {
+                    open.remove(id, exchange);
+                }
+                to.gone(at, id);
+            });
+        }
+    }
+
+    /**
+     * Answers a health check.
+     *
+     * @param probe whether the caller wants to know that work gets done
+     * @param answer takes whether the check is good, once
+     */
+    public void check(boolean probe, Consumer<Boolean> answer) {
+        counters.add("checks");
+        if (controller == null || checkCheap || !probe || !checkGood) {
+            answer.accept(controller != null && checkGood);
+        } else if (!workers.ready() || checks.size() >= MOST_CHECKS) {
+            answer.accept(false);
+        } else {
+            String echo = "c" + ++polls;
+            checks.put(echo, new Check(answer, timers.now() + CHECK_WAIT));
+            workers.verify(echo);
+        }
+    }
+
+    /**
+     * The free value that goes out with answers.
+     *
+     * @return the value
+     */
+    public double feedback() {
+        return said;
+    }
+
+    /**
+     * Whether the notice to leave has come.
+     *
+     * @return true if so
+     */
+    public boolean draining() {
+        return draining;
+    }
+
+    /**
+     * How many requests are still owed an answer.
+     *
+     * @return their number
+     */
+    public long owed() {
+        return open.values().stream().filter(Exchange::owed).count();
+    }
+
+    /**
+     * How many requests are open: owed an answer or still with the pool.
+     *
+     * @return their number
+     */
+    public int inHand() {
+        return open.size();
+    }
+
+    /**
+     * The notice to leave.
+     *
+     * @param stopAfter the span in microseconds after which the process is stopped
+     */
+    public void drain(long stopAfter) {
+        if (draining) {
+            return;
+        }
+        draining = true;
+        noticeAt = timers.now();
+        long stopAt = noticeAt + stopAfter;
+        log.line("drain owed=" + owed() + " stop_ms=" + stopAfter / MILLI);
+        event((to, at) -> to.drain(at, stopAt));
+    }
+
+    // what the pool brings
+
+    /**
+     * The pool has taken the link; what follows are the notices that were missed.
+     *
+     * @param fresh whether it was cold at its start
+     * @param age microseconds since that start
+     */
+    public void bound(boolean fresh, long age) {
+        if (controller != null) {
+            return;
+        }
+        Machine one = told.machine();
+        Machine machine = new Machine(one.cores(), one.memory(), one.runFactor(), one.entryMemory(), fresh,
+                one.gauges(), one.halting());
+        controller = maker.apply(new Settings(told.seed(), told.round(), told.classes(), told.tenants(),
+                told.replicas(), told.callers(), told.worthByWork(), told.overShareWorth(), told.freshFor(),
+                told.goal(), told.rules(), told.dependency(), machine, told.signals()), this);
+        log.line("ready cold=" + fresh + " age_ms=" + age / MILLI);
+        controller.started(timers.now() - age);
+        timers.at(timers.now() + WATCH, this::watch);
+    }
+
+    /**
+     * The missed notices have been read. Runs whose start may have been lost with a link are started again,
+     * unless that could run twice what must run once: such a request waits for its end, or its due time.
+     */
+    public void caughtUp() {
+        for (Exchange one : open.values()) {
+            if (one.inPool() && one.state() == Exchange.State.RUNNING && one.pollsBefore() >= answeredPolls
+                    && one.repeatable()) {
+                counters.add("spawned-again");
+                workers.spawn(one);
+            } else if (one.inPool() && one.stopping()) {
+                workers.suspend(one.arrival().id());
+            }
+        }
+    }
+
+    /** The link to the pool has broken: timers do not wait for gauges any longer, and checks fail. */
+    public void unlinked() {
+        for (String echo : new ArrayList<>(ticks.keySet())) {
+            tick(echo, gauges);
+        }
+        for (String echo : new ArrayList<>(checks.keySet())) {
+            verified(echo, false);
+        }
+    }
+
+    /**
+     * A run is over.
+     *
+     * @param id the request
+     * @param outcome how it ended
+     * @param took microseconds it took
+     * @param result the result of a good run
+     */
+    public void finished(String id, Outcome outcome, long took, byte[] result) {
+        counters.add("finished-" + outcome.name().toLowerCase(Locale.ROOT));
+        Exchange one = open.get(id);
+        if (one == null || !one.inPool()) {
+            counters.add("finished-unasked");
+            return;
+        }
+        if (outcome == Outcome.STOPPED) {
+            one.stopped(told.machine().halting() == Halting.SUSPEND);
+        } else {
+            one.left();
+        }
+        if (outcome == Outcome.GOOD) {
+            served(one, result);
+        } else if (outcome != Outcome.STOPPED) {
+            fail(one, outcome == Outcome.MOOT ? "stale" : "crashed");
+        }
+        if (!one.inPool() && !one.owed()) {
+            open.remove(id);
+        }
+        event((to, at) -> to.finished(at, id, outcome, took));
+    }
+
+    /**
+     * The gauges that were asked for.
+     *
+     * @param echo the word that was sent along
+     * @param meters the gauges
+     */
+    public void polled(String echo, double[] meters) {
+        if (meters.length == gauges.length) {
+            gauges = meters;
+        }
+        if (echo.startsWith("t")) {
+            answeredPolls = Math.max(answeredPolls, Long.parseLong(echo, 1, echo.length(), 10));
+        }
+        tick(echo, gauges);
+    }
+
+    /**
+     * A deep health check is over.
+     *
+     * @param echo the word that was sent along
+     * @param good whether the work was done
+     */
+    public void verified(String echo, boolean good) {
+        Check check = checks.remove(echo);
+        if (check != null) {
+            check.answer().accept(good && checkGood);
+        }
+    }
+
+    private void tick(String echo, double[] meters) {
+        String tag = ticks.remove(echo);
+        if (tag != null) {
+            event((to, at) -> to.timer(at, tag, meters));
+        }
+    }
+
+    // batches
+
+    private void event(Event event) {
+        events.add(event);
+        if (!batchAsked) {
+            batchAsked = true;
+            timers.at(Math.max(timers.now(), lastBatch + told.round()), this::batch);
+        }
+    }
+
+    private void batch() {
+        batchAsked = false;
+        long now = timers.now();
+        lastBatch = now;
+        Event event;
+        while ((event = events.poll()) != null) {
+            Event one = event;
+            guarded(() -> one.give(controller, now));
+        }
+        guarded(() -> controller.settled(now));
+    }
+
+    /** A failure of the decision code costs the event in hand, not the process; due times are still kept. */
+    private void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException broken) {
+            counters.add("controller-faults");
+            log.line("controller-fault " + broken + (broken.getStackTrace().length > 0
+                    ? " at=" + broken.getStackTrace()[0] : ""));
+        }
+    }
+
+    /** Looks for due times: a batch lets the controller answer; what it then still owes is failed here. */
+    private void watch() {
+        long now = timers.now();
+        timers.at(now + WATCH, this::watch);
+        boolean due = false;
+        List<Exchange> overdue = new ArrayList<>();
+        for (Exchange one : open.values()) {
+            due |= one.owed() && now >= one.dueAt() - WATCH;
+            if (one.owed() && now >= one.dueAt() + told.rules().answerSlack() / 2) {
+                overdue.add(one);
+            }
+        }
+        for (Exchange one : overdue) {
+            counters.add("overdue");
+            log.line("overdue id=" + one);
+            fail(one, "overdue");
+            forgetUnlessRunning(one);
+        }
+        if (due) {
+            event((to, at) -> { });
+        }
+        for (Map.Entry<String, Check> one : new ArrayList<>(checks.entrySet())) {
+            if (now >= one.getValue().until()) {
+                verified(one.getKey(), false);
+            }
+        }
+    }
+
+    private void forgetUnlessRunning(Exchange one) {
+        if (!one.inPool()) {
+            open.remove(one.arrival().id(), one);
+        }
+    }
+
+    // answers
+
+    private void served(Exchange one, byte[] result) {
+        if (one.serve(result)) {
+            counters.add("served");
+        }
+    }
+
+    private void refuse(Exchange one, String code, boolean last, long holdOffMs) {
+        if (one.refuse(last, holdOffMs)) {
+            counters.add("refused-" + code);
+        }
+    }
+
+    private void fail(Exchange one, String code) {
+        if (one.fail(code)) {
+            counters.add("failed-" + code);
+        }
+    }
+
+    // actions of the controller
+
+    @Override
+    public void start(String id) {
+        Exchange one = open.get(id);
+        if (one == null || !one.owed() || one.state() == Exchange.State.RUNNING) {
+            return;
+        }
+        if (one.state() == Exchange.State.PAUSED) {
+            one.resumed();
+            workers.proceed(id);
+        } else if (one.ran() && !one.repeatable()) {
+            fail(one, "ran-before"); // a stop threw its work away: it may have had its effect
+            forgetUnlessRunning(one);
+        } else if (draining && one.arrivedAt() > noticeAt + told.rules().drainGrace()) {
+            refuse(one, "drained", false, told.signals().longestAdvice() / MILLI);
+            open.remove(id);
+        } else {
+            one.started(polls);
+            counters.add("spawned");
+            workers.spawn(one);
+        }
+    }
+
+    @Override
+    public void halt(String id) {
+        Exchange one = open.get(id);
+        if (one != null && one.inPool() && !one.stopping()) {
+            one.stop();
+            counters.add("suspended");
+            workers.suspend(id);
+        }
+    }
+
+    @Override
+    public void refuse(String id, boolean dontRetry, long stayAway) {
+        Exchange one = open.get(id);
+        if (one == null) {
+            return;
+        }
+        if (one.ran() && !one.repeatable()) {
+            fail(one, "ran-before"); // a refusal promises that nothing ran
+        } else {
+            refuse(one, "decided", dontRetry, (stayAway + MILLI - 1) / MILLI);
+        }
+        forgetUnlessRunning(one);
+    }
+
+    @Override
+    public void fail(String id) {
+        Exchange one = open.get(id);
+        if (one != null) {
+            fail(one, "decided");
+            forgetUnlessRunning(one);
+        }
+    }
+
+    @Override
+    public void timer(long at, String tag) {
+        timers.at(at, () -> timerDue(tag));
+    }
+
+    /** The gauges of the moment go with a timer; without a link those of the last answer do. */
+    private void timerDue(String tag) {
+        if (!workers.ready()) {
+            event((to, at) -> to.timer(at, tag, gauges));
+            return;
+        }
+        String echo = "t" + ++polls;
+        ticks.put(echo, tag);
+        workers.poll(echo);
+        timers.at(timers.now() + GAUGES_WAIT, () -> {
+            if (ticks.containsKey(echo)) {
+                counters.add("gauges-late");
+                tick(echo, gauges);
+            }
+        });
+    }
+
+    @Override
+    public void say(double value) {
+        said = value;
+    }
+
+    @Override
+    public void health(boolean cheap, boolean good) {
+        checkCheap = cheap;
+        checkGood = good;
+    }
+
+    @Override
+    public void trimIdle(long span) {
+        trimmer.accept(span);
+    }
+
+    @Override
+    public void log(String text) {
+        log.line("controller " + text);
+    }
+
+    // The platform's protocol carries neither calls nor marks of repeats, so no event leads to these.
+
+    @Override
+    public void call(String id, long until) {
+        throw new UnsupportedOperationException("call");
+    }
+
+    @Override
+    public void skipCall(String id) {
+        throw new UnsupportedOperationException("skip a call");
+    }
+
+    @Override
+    public void remember(String id, long span) {
+        throw new UnsupportedOperationException("remember");
+    }
+
+    @Override
+    public void forget(String id) {
+        throw new UnsupportedOperationException("forget");
+    }
+
+    @Override
+    public void replay(String id) {
+        throw new UnsupportedOperationException("replay");
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/broker/Exchange.java
@@ -0,0 +1,184 @@
+package mothwing.broker;
+
+import java.util.Locale;
+
+/**
+ * One request between the front that read it and the pool that runs it: the only place where the two sides
+ * meet. Its answer is given at most once, and never after its caller left.
+ */
+public final class Exchange {
+    /** Where a request stands with its caller and with the pool. */
+    public enum State {
+        /** Read; the controller has not been told yet. */
+        READ,
+        /** Known to the controller, not running. */
+        HELD,
+        /** Handed to the pool. */
+        RUNNING,
+        /** Stopped by us, and kept by the pool. */
+        PAUSED,
+        /** Its final answer is given. */
+        ANSWERED,
+        /** Its caller left before an answer. */
+        GONE
+    }
+
+    private final Arrival arrival;
+    private final Caller caller;
+    private final boolean repeatable;
+    private final long arrivedAt;
+    private final long dueAt;
+    private State state = State.READ;
+    private boolean ran;
+    private boolean inPool;
+    private boolean stopping;
+    private long pollsBefore;
+
+    Exchange(Arrival arrival, Caller caller, boolean repeatable, long arrivedAt, long dueAt) {
+        this.arrival = arrival;
+        this.caller = caller;
+        this.repeatable = repeatable;
+        this.arrivedAt = arrivedAt;
+        this.dueAt = dueAt;
+    }
+
+    /**
+     * What was read.
+     *
+     * @return the request
+     */
+    public Arrival arrival() {
+        return arrival;
+    }
+
+    /**
+     * Where it stands.
+     *
+     * @return its state
+     */
+    public State state() {
+        return state;
+    }
+
+    /**
+     * Whether a caller still waits for its answer.
+     *
+     * @return true if so
+     */
+    public boolean owed() {
+        return state != State.ANSWERED && state != State.GONE;
+    }
+
+    /**
+     * Whether the pool has a run of it.
+     *
+     * @return true from its start until its end
+     */
+    public boolean inPool() {
+        return inPool;
+    }
+
+    boolean ran() {
+        return ran;
+    }
+
+    boolean repeatable() {
+        return repeatable;
+    }
+
+    long arrivedAt() {
+        return arrivedAt;
+    }
+
+    long dueAt() {
+        return dueAt;
+    }
+
+    boolean stopping() {
+        return stopping;
+    }
+
+    long pollsBefore() {
+        return pollsBefore;
+    }
+
+    void held() {
+        if (state == State.READ) {
+            state = State.HELD;
+        }
+    }
+
+    /** Marks it as handed to the pool, after so many polls. */
+    void started(long polls) {
+        state = State.RUNNING;
+        ran = true;
+        inPool = true;
+        pollsBefore = polls;
+    }
+
+    void resumed() {
+        state = State.RUNNING;
+        stopping = false;
+    }
+
+    void stop() {
+        stopping = true;
+    }
+
+    /** The pool stopped its run and keeps it (or, where a stop throws the work away, does not). */
+    void stopped(boolean kept) {
+        stopping = false;
+        inPool = kept && owed();
+        if (owed()) {
+            state = kept ? State.PAUSED : State.HELD;
+        }
+    }
+
+    /** The pool holds nothing of it any longer. */
+    void left() {
+        inPool = false;
+        stopping = false;
+    }
+
+    /** The caller left. Says whether an answer was still owed. */
+    boolean gone() {
+        boolean was = owed();
+        state = was ? State.GONE : state;
+        return was;
+    }
+
+    private boolean answer() {
+        boolean was = owed();
+        state = was ? State.ANSWERED : state;
+        return was;
+    }
+
+    boolean serve(byte[] result) {
+        if (answer()) {
+            caller.served(result);
+            return true;
+        }
+        return false;
+    }
+
+    boolean refuse(boolean last, long holdOffMs) {
+        if (answer()) {
+            caller.refused(last, holdOffMs);
+            return true;
+        }
+        return false;
+    }
+
+    boolean fail(String code) {
+        if (answer()) {
+            caller.failed(code);
+            return true;
+        }
+        return false;
+    }
+
+    @Override
+    public String toString() {
+        return arrival.id() + " " + state.name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/broker/Workers.java
@@ -0,0 +1,22 @@
+package mothwing.broker;
+
+/** What the broker asks of the worker pool. Calls do nothing while {@link #ready} is false. */
+public interface Workers {
+    /** Whether commands reach the pool now. */
+    boolean ready();
+
+    /** Runs a request. */
+    void spawn(Exchange exchange);
+
+    /** Stops a run. */
+    void suspend(String id);
+
+    /** Goes on with a paused run. */
+    void proceed(String id);
+
+    /** Asks for the gauges. */
+    void poll(String echo);
+
+    /** Does the work of a deep health check. */
+    void verify(String echo);
+}
--- /dev/null
+++ b/src/main/java/mothwing/net/Connection.java
@@ -0,0 +1,222 @@
+package mothwing.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
+import mothwing.broker.Counters;
+import mothwing.broker.Log;
+
+/**
+ * One connection, of a front or of the client side: gathers bytes until a decoder can take a whole piece, keeps
+ * to bounds, stops reading while the other side does not read, and leaves one line in the log when it ends.
+ */
+public abstract class Connection extends ChannelInboundHandlerAdapter {
+    private final String side;
+    private final int mostGathered;
+    private final Log log;
+    private final Counters counters;
+    private ChannelHandlerContext context;
+    private ByteBuf gathered;
+    private Reason reason = Reason.PEER_CLOSED;
+    private String detail = "";
+    private boolean closing;
+    private boolean ended;
+    private long bytesIn;
+    private long bytesOut;
+    private long pieces;
+
+    /**
+     * Makes the state of a connection.
+     *
+     * @param side its name in the log and in counters
+     * @param mostGathered most bytes that may be gathered before a whole piece is there
+     * @param log takes its line
+     * @param counters counts what happens
+     */
+    protected Connection(String side, int mostGathered, Log log, Counters counters) {
+        this.side = side;
+        this.mostGathered = mostGathered;
+        this.log = log;
+        this.counters = counters;
+    }
+
+    /** The connection is open. */
+    protected void opened() {
+    }
+
+    /**
+     * Takes a whole piece off the bytes that came.
+     *
+     * @param in the bytes
+     * @return false where no whole piece is there, in which case nothing was taken
+     * @throws Malformed where the bytes are not the protocol
+     */
+    protected abstract boolean take(ByteBuf in) throws Malformed;
+
+    /** The connection has ended; called once. */
+    protected abstract void ended();
+
+    /**
+     * Whether nothing is open on it.
+     *
+     * @return true if it may be closed
+     */
+    public boolean idle() {
+        return true;
+    }
+
+    /**
+     * Counts under this connection's side.
+     *
+     * @param name what is counted
+     */
+    protected final void count(String name) {
+        counters.add(side + "-" + name);
+    }
+
+    /**
+     * Room for bytes to be sent.
+     *
+     * @param size a guess of their number
+     * @return an empty buffer
+     */
+    protected final ByteBuf room(int size) {
+        return context.alloc().buffer(size);
+    }
+
+    /**
+     * Sends bytes.
+     *
+     * @param bytes what to send; given away
+     */
+    protected final void send(ByteBuf bytes) {
+        if (closing) {
+            bytes.release();
+            return;
+        }
+        bytesOut += bytes.readableBytes();
+        context.writeAndFlush(bytes, context.voidPromise());
+    }
+
+    /**
+     * Closes the connection once all that was sent has left.
+     *
+     * @param why the reason
+     * @param what more on it, or an empty text
+     */
+    public final void close(Reason why, String what) {
+        if (closing || ended) {
+            return;
+        }
+        closing = true;
+        reason = why;
+        detail = what;
+        context.channel().config().setAutoRead(false);
+        context.writeAndFlush(context.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /**
+     * Whether it was closed from this side, or has ended.
+     *
+     * @return true if nothing can be sent
+     */
+    protected final boolean closed() {
+        return closing || ended;
+    }
+
+    @Override
+    public final void channelActive(ChannelHandlerContext ctx) {
+        context = ctx;
+        count("opened");
+        opened();
+    }
+
+    @Override
+    public final void channelRead(ChannelHandlerContext ctx, Object message) {
+        ByteBuf came = (ByteBuf) message;
+        bytesIn += came.readableBytes();
+        if (gathered == null) {
+            gathered = came;
+        } else {
+            gathered = joined(ctx, gathered, came);
+        }
+        try {
+            while (!closed() && take(gathered)) {
+                pieces++;
+            }
+            if (!closed() && gathered.readableBytes() > mostGathered) {
+                throw new Malformed(Reason.OVERSIZED, "over " + mostGathered + " bytes without an end");
+            }
+        } catch (Malformed bad) {
+            count("malformed");
+            close(bad.reason(), bad.getMessage());
+        } catch (RuntimeException broken) {
+            fault(broken);
+        }
+        if (gathered != null && (!gathered.isReadable() || closed())) {
+            drop();
+        }
+    }
+
+    private static ByteBuf joined(ChannelHandlerContext ctx, ByteBuf before, ByteBuf came) {
+        ByteBuf both = ctx.alloc().buffer(before.readableBytes() + came.readableBytes());
+        both.writeBytes(before).writeBytes(came);
+        before.release();
+        came.release();
+        return both;
+    }
+
+    private void drop() {
+        gathered.release();
+        gathered = null;
+    }
+
+    /** Answers that the other side does not read stay bounded: nothing more is read from it until it does. */
+    @Override
+    public final void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (!closing) {
+            ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+        }
+    }
+
+    private void fault(Throwable broken) {
+        counters.add("faults");
+        StackTraceElement[] stack = broken.getStackTrace();
+        log.line("fault side=" + side + " what=\"" + broken + "\"" + (stack.length > 0 ? " at=" + stack[0] : ""));
+        close(Reason.FAULT, "");
+    }
+
+    @Override
+    public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof IOException) {
+            reason = closing ? reason : Reason.PEER_RESET;
+            closing = true;
+            ctx.close();
+        } else {
+            fault(cause);
+        }
+    }
+
+    @Override
+    public final void channelInactive(ChannelHandlerContext ctx) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (gathered != null) {
+            drop();
+        }
+        try {
+            ended();
+        } catch (RuntimeException broken) {
+            counters.add("faults");
+            log.line("fault side=" + side + " what=\"" + broken + "\"");
+        }
+        count("ended-" + reason.code());
+        log.line("end side=" + side + " reason=" + reason.code() + " peer=" + ctx.channel().remoteAddress()
+                + " in=" + bytesIn + " out=" + bytesOut + " pieces=" + pieces
+                + (detail.isEmpty() ? "" : " detail=\"" + detail + "\""));
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/net/Dialer.java
@@ -0,0 +1,72 @@
+package mothwing.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+/** Opens connections to one address. */
+public final class Dialer {
+    private static final int MOST_WAIT_MS = 2000;
+
+    private final EventLoop loop;
+    private final ByteBufAllocator allocator;
+    private final InetSocketAddress address;
+
+    /**
+     * Makes a dialer.
+     *
+     * @param loop the thread of it all
+     * @param allocator gives buffers
+     * @param address where to connect
+     */
+    public Dialer(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address) {
+        this.loop = loop;
+        this.allocator = allocator;
+        this.address = address;
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param maker makes its state once it is open
+     * @param failed what to do where it cannot be opened
+     */
+    public void dial(Supplier<? extends Connection> maker, Runnable failed) {
+        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, MOST_WAIT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOCATOR, allocator)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel opened) {
+                        opened.pipeline().addLast(new Opening(maker));
+                    }
+                }).connect(address).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        failed.run();
+                    }
+                });
+    }
+
+    /** Puts the state of the connection in its place once it is open, so that attempts leave no trace. */
+    private static final class Opening extends io.netty.channel.ChannelInboundHandlerAdapter {
+        private final Supplier<? extends Connection> maker;
+
+        Opening(Supplier<? extends Connection> maker) {
+            this.maker = maker;
+        }
+
+        @Override
+        public void channelActive(io.netty.channel.ChannelHandlerContext ctx) {
+            Connection connection = maker.get();
+            ctx.pipeline().replace(this, "connection", connection);
+            ctx.pipeline().fireChannelActive();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/net/Listener.java
@@ -0,0 +1,124 @@
+package mothwing.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import mothwing.broker.Counters;
+import mothwing.broker.Timers;
+
+/**
+ * Accepts the connections of one front: no more than a bound, the idle ones closed after a span, and those with
+ * nothing open closed once the process is leaving.
+ */
+public final class Listener {
+    private static final int BACKLOG = 512;
+    private static final int LOW_WATER = 64 << 10;
+    private static final int HIGH_WATER = 256 << 10;
+
+    private final Supplier<? extends Connection> maker;
+    private final int most;
+    private final Timers timers;
+    private final Counters counters;
+    private final String side;
+    private final Map<Connection, Long> idleSince = new LinkedHashMap<>();
+    private Channel channel;
+
+    /**
+     * Makes a listener that does not listen yet.
+     *
+     * @param side its name in counters
+     * @param maker makes the state of a new connection
+     * @param most most connections at once
+     * @param timers the clocks
+     * @param counters counts what happens
+     */
+    public Listener(String side, Supplier<? extends Connection> maker, int most, Timers timers, Counters counters) {
+        this.side = side;
+        this.maker = maker;
+        this.most = most;
+        this.timers = timers;
+        this.counters = counters;
+    }
+
+    /**
+     * Begins to listen.
+     *
+     * @param loop the thread of it all
+     * @param allocator gives buffers
+     * @param address where to listen
+     * @return done once it listens
+     */
+    public ChannelFuture listen(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, allocator)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_WATER, HIGH_WATER))
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel accepted) {
+                        accept(accepted);
+                    }
+                }).bind(address);
+        channel = bound.channel();
+        return bound;
+    }
+
+    private void accept(SocketChannel accepted) {
+        if (idleSince.size() >= most) {
+            counters.add(side + "-over-bound");
+            accepted.close();
+            return;
+        }
+        Connection connection = maker.get();
+        idleSince.put(connection, timers.now());
+        accepted.closeFuture().addListener(closed -> idleSince.remove(connection));
+        accepted.pipeline().addLast(connection);
+    }
+
+    /**
+     * How many connections are open.
+     *
+     * @return their number
+     */
+    public int open() {
+        return idleSince.size();
+    }
+
+    /**
+     * Closes what was idle for longer than a span.
+     *
+     * @param span microseconds; 0 closes all that has nothing open
+     * @param why the reason
+     */
+    public void trim(long span, Reason why) {
+        long now = timers.now();
+        for (Map.Entry<Connection, Long> one : new ArrayList<>(idleSince.entrySet())) {
+            if (!one.getKey().idle()) {
+                one.setValue(now);
+            } else if (now - one.getValue() >= span) {
+                one.getKey().close(why, "");
+            }
+        }
+    }
+
+    /** Accepts no further connections. */
+    public void stop() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/net/Reason.java
@@ -0,0 +1,40 @@
+package mothwing.net;
+
+import java.util.Locale;
+
+/** Why a connection ended: the code in its line of the log. */
+public enum Reason {
+    /** The other side closed it. */
+    PEER_CLOSED,
+    /** The other side reset it, or the network broke it. */
+    PEER_RESET,
+    /** It could not be opened. */
+    NOT_OPENED,
+    /** It was idle for longer than connections may be now. */
+    IDLE,
+    /** This process is leaving. */
+    DRAIN,
+    /** What came is not the protocol. */
+    MALFORMED,
+    /** What came is larger than the protocol or this program allows. */
+    OVERSIZED,
+    /** More requests were opened on it than may be open at once. */
+    TOO_MANY_OPEN,
+    /** The other side asked for it to be closed after the answer. */
+    ASKED,
+    /** An answer did not come in time. */
+    NO_ANSWER,
+    /** A newer link to the same peer took its place. */
+    REPLACED,
+    /** A fault of this program; the line before it has the details. */
+    FAULT;
+
+    /**
+     * The code as it stands in the log.
+     *
+     * @return lower-case words joined by dashes
+     */
+    public String code() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/pool/Pool.java
@@ -0,0 +1,150 @@
+package mothwing.pool;
+
+import java.util.Set;
+import java.util.function.Supplier;
+import mothwing.broker.Broker;
+import mothwing.broker.Counters;
+import mothwing.broker.Exchange;
+import mothwing.broker.Log;
+import mothwing.broker.Timers;
+import mothwing.broker.Workers;
+import mothwing.net.Connection;
+import mothwing.net.Dialer;
+
+/** The worker pool over its links: a link that breaks is opened again and goes on after the last notice read. */
+public final class Pool implements Workers {
+    static final Set<String> NOTICES = Set.of("bound", "finished", "polled", "verified", "unknown", "chatter");
+
+    private static final long MILLI = 1000;
+    private static final long FIRST_WAIT = 20 * MILLI;
+    private static final long LONGEST_WAIT = 500 * MILLI;
+
+    private final Dialer dialer;
+    private final Timers timers;
+    private final Counters counters;
+    private final Log log;
+    private Broker broker;
+    private PoolLink link;
+    private long last;
+    private long wait = FIRST_WAIT;
+    private boolean stopped;
+
+    /**
+     * Makes a pool that is not linked yet.
+     *
+     * @param dialer opens links to the pool's address
+     * @param timers the clocks
+     * @param counters counts what happens
+     * @param log takes lines of the log
+     */
+    public Pool(Dialer dialer, Timers timers, Counters counters, Log log) {
+        this.dialer = dialer;
+        this.timers = timers;
+        this.counters = counters;
+        this.log = log;
+    }
+
+    /**
+     * Opens the first link.
+     *
+     * @param to takes what the pool says
+     */
+    public void link(Broker to) {
+        broker = to;
+        dial();
+    }
+
+    private void dial() {
+        if (stopped) {
+            return;
+        }
+        Supplier<Connection> maker = () -> {
+            link = new PoolLink(this, broker, log, counters);
+            return link;
+        };
+        dialer.dial(maker, this::again);
+    }
+
+    private void again() {
+        if (!stopped) {
+            counters.add("pool-relinks");
+            timers.at(timers.now() + wait, this::dial);
+            wait = Math.min(LONGEST_WAIT, 2 * wait);
+        }
+    }
+
+    /** Opens no link any more. */
+    public void stop() {
+        stopped = true;
+    }
+
+    long lastNotice() {
+        return last;
+    }
+
+    /** Whether a numbered notice is the next one: one that was read before is passed over. */
+    boolean isNext(long place) {
+        if (place <= last) {
+            counters.add("pool-notices-repeated");
+            return false;
+        }
+        if (place > last + 1) {
+            counters.add("pool-notices-missed", place - last - 1);
+            log.line("pool-gap after=" + last + " next=" + place);
+        }
+        last = place;
+        return true;
+    }
+
+    void bound() {
+        wait = FIRST_WAIT;
+    }
+
+    void ended(PoolLink which) {
+        if (link == which) {
+            link = null;
+            broker.unlinked();
+            again();
+        }
+    }
+
+    @Override
+    public boolean ready() {
+        return link != null && link.ready();
+    }
+
+    @Override
+    public void spawn(Exchange exchange) {
+        if (ready()) {
+            link.spawn(exchange);
+        }
+    }
+
+    @Override
+    public void suspend(String id) {
+        if (ready()) {
+            link.suspend(id);
+        }
+    }
+
+    @Override
+    public void proceed(String id) {
+        if (ready()) {
+            link.proceed(id);
+        }
+    }
+
+    @Override
+    public void poll(String echo) {
+        if (ready()) {
+            link.poll(echo);
+        }
+    }
+
+    @Override
+    public void verify(String echo) {
+        if (ready()) {
+            link.verify(echo);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/pool/PoolLink.java
@@ -0,0 +1,166 @@
+package mothwing.pool;
+
+import canvaspaddle.OverloadControl.Outcome;
+import com.google.gson.Gson;
+import com.google.gson.JsonParseException;
+import com.google.gson.stream.JsonReader;
+import io.netty.buffer.ByteBuf;
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import mothwing.broker.Broker;
+import mothwing.broker.Counters;
+import mothwing.broker.Exchange;
+import mothwing.broker.Log;
+import mothwing.broker.Workers;
+import mothwing.net.Connection;
+import mothwing.net.Malformed;
+import mothwing.net.Reason;
+import mothwing.settings.Fields;
+
+/** One link to the worker pool: commands and notices as JSON objects, one a line. */
+final class PoolLink extends Connection implements Workers {
+    /** Most bytes of one line: a result of 4 KiB in base64, with much to spare. */
+    static final int MOST_LINE = 64 << 10;
+
+    private static final long MILLI = 1000;
+    private static final String CAUGHT_UP = "bind";
+    private static final Gson GSON = new Gson();
+
+    private final Pool pool;
+    private final Broker broker;
+    private final Log log;
+    private boolean bound;
+
+    PoolLink(Pool pool, Broker broker, Log log, Counters counters) {
+        super("pool", MOST_LINE, log, counters);
+        this.pool = pool;
+        this.broker = broker;
+        this.log = log;
+    }
+
+    @Override
+    protected void opened() {
+        command("{\"action\":\"bind\",\"pos\":" + pool.lastNotice() + "}");
+    }
+
+    @Override
+    protected void ended() {
+        bound = false;
+        pool.ended(this);
+    }
+
+    @Override
+    protected boolean take(ByteBuf in) throws Malformed {
+        int length = in.bytesBefore((byte) '\n');
+        if (length < 0) {
+            return false;
+        }
+        String line = in.toString(in.readerIndex(), length, StandardCharsets.UTF_8);
+        in.skipBytes(length + 1);
+        try (JsonReader reader = new JsonReader(new StringReader(line))) {
+            notice(Fields.read(reader));
+        } catch (IOException | IllegalStateException | JsonParseException bad) {
+            throw new Malformed(Reason.MALFORMED, "notice: " + bad.getMessage());
+        }
+        return true;
+    }
+
+    private void notice(Fields notice) throws IOException, Malformed {
+        String action = notice.text("action");
+        count("notice-" + (Pool.NOTICES.contains(action) ? action : "other"));
+        long place = notice.whole("pos", 0);
+        if (place > 0 && !pool.isNext(place)) {
+            return;
+        }
+        switch (action) {
+            case "bound" -> {
+                bound = true;
+                pool.bound();
+                broker.bound(notice.text("code").equals("fresh"), notice.whole("wall_ms", 0) * MILLI);
+                poll(CAUGHT_UP);
+            }
+            case "finished" -> finished(notice);
+            case "polled" -> {
+                if (notice.text("echo", "").equals(CAUGHT_UP)) {
+                    broker.caughtUp();
+                } else {
+                    broker.polled(notice.text("echo", ""), notice.numbers("meters"));
+                }
+            }
+            case "verified" -> broker.verified(notice.text("echo", ""), notice.text("code", "").equals("done"));
+            case "unknown" -> {
+                log.line("pool-unknown code=" + notice.text("code", "") + " id=" + notice.text("uid", ""));
+                if (notice.text("code", "").equals("spawn")) {
+                    broker.finished(notice.text("uid", ""), Outcome.MOOT, 0, null);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private void finished(Fields notice) throws IOException, Malformed {
+        String code = notice.text("code");
+        Outcome outcome = switch (code) {
+            case "done" -> Outcome.GOOD;
+            case "crashed" -> Outcome.FAILED;
+            case "aborted" -> Outcome.STOPPED;
+            case "stale" -> Outcome.MOOT;
+            default -> throw new Malformed(Reason.MALFORMED, "finished as " + code);
+        };
+        byte[] result = outcome == Outcome.GOOD ? decoded(notice.text("content", "")) : null;
+        broker.finished(notice.text("uid"), outcome, notice.whole("wall_ms", 0) * MILLI, result);
+    }
+
+    private static byte[] decoded(String content) throws Malformed {
+        try {
+            return Base64.getDecoder().decode(content);
+        } catch (IllegalArgumentException notBase64) {
+            throw new Malformed(Reason.MALFORMED, "content is not base64");
+        }
+    }
+
+    private void command(String line) {
+        ByteBuf out = room(line.length() + 1);
+        out.writeCharSequence(line, StandardCharsets.UTF_8);
+        out.writeByte('\n');
+        send(out);
+    }
+
+    @Override
+    public boolean ready() {
+        return bound && !closed();
+    }
+
+    @Override
+    public void spawn(Exchange exchange) {
+        command("{\"action\":\"spawn\",\"uid\":\"" + exchange.arrival().id() + "\",\"lane\":"
+                + GSON.toJson(exchange.arrival().kind()) + ",\"content\":\""
+                + Base64.getEncoder().encodeToString(exchange.arrival().body()) + "\"}");
+    }
+
+    private void named(String action, String word, String value) {
+        command("{\"action\":\"" + action + "\",\"" + word + "\":\"" + value + "\"}");
+    }
+
+    @Override
+    public void suspend(String id) {
+        named("suspend", "uid", id);
+    }
+
+    @Override
+    public void proceed(String id) {
+        named("proceed", "uid", id);
+    }
+
+    @Override
+    public void poll(String echo) {
+        named("poll", "echo", echo);
+    }
+
+    @Override
+    public void verify(String echo) {
+        named("verify", "echo", echo);
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/server/Config.java
@@ -0,0 +1,79 @@
+package mothwing.server;
+
+import canvaspaddle.OverloadControl.Settings;
+import com.google.gson.stream.JsonReader;
+import java.io.IOException;
+import java.io.Reader;
+import java.net.InetSocketAddress;
+import mothwing.settings.BadInput;
+import mothwing.settings.Fields;
+import mothwing.settings.SettingsCodec;
+
+/**
+ * What a shop server is told.
+ *
+ * @param name its name
+ * @param listen where gateways connect
+ * @param pool where the worker pool listens
+ * @param announce where the announce service listens
+ * @param stopMs milliseconds from the notice to leave to the stop
+ * @param sockets most descriptors
+ * @param settings the settings of the site
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress pool, InetSocketAddress announce,
+        long stopMs, int sockets, Settings settings) {
+    private static final int SOCKETS = 1024;
+    private static final int HEXADECIMAL = 16;
+
+    /**
+     * Reads a configuration.
+     *
+     * @param json its text
+     * @return the configuration
+     * @throws IOException where it cannot be understood; the message names the field
+     */
+    public static Config read(Reader json) throws IOException {
+        Fields all;
+        try (JsonReader reader = new JsonReader(json)) {
+            all = Fields.read(reader);
+        } catch (IllegalStateException notObject) {
+            throw new BadInput("not a JSON object");
+        }
+        return new Config(all.text("name"), address(all, "listen"), address(all, "pool"), address(all, "announce"),
+                all.whole("stop_ms"), (int) all.inner("limits").whole("sockets", SOCKETS),
+                SettingsCodec.read(seed(all.text("seed", "0")), all.requiredInner("settings")));
+    }
+
+    private static long seed(String text) throws BadInput {
+        try {
+            return Long.parseUnsignedLong(text, HEXADECIMAL);
+        } catch (NumberFormatException notOne) {
+            throw new BadInput("field seed: not a hexadecimal number");
+        }
+    }
+
+    private static InetSocketAddress address(Fields all, String name) throws BadInput {
+        return address(all.text(name), name);
+    }
+
+    /**
+     * Reads an address, without asking any name service.
+     *
+     * @param text host and port
+     * @param name the field's name, for complaints
+     * @return the address
+     * @throws BadInput where it is none
+     */
+    public static InetSocketAddress address(String text, String name) throws BadInput {
+        int colon = text.lastIndexOf(':');
+        try {
+            String host = text.substring(0, Math.max(0, colon)).replace("[", "").replace("]", "");
+            if (!host.isEmpty() && host.matches("[0-9a-fA-F.:]+")) {
+                return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+            }
+        } catch (IllegalArgumentException notOne) {
+            // falls through to the complaint
+        }
+        throw new BadInput("field " + name + ": not an address with a port");
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/server/Server.java
@@ -0,0 +1,158 @@
+package mothwing.server;
+
+import canvaspaddle.Brain;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import mothwing.announce.Announcer;
+import mothwing.broker.Broker;
+import mothwing.broker.Counters;
+import mothwing.broker.Log;
+import mothwing.fastcgi.FastCgiConnection;
+import mothwing.net.Connection;
+import mothwing.net.Dialer;
+import mothwing.net.Listener;
+import mothwing.net.Reason;
+import mothwing.pool.Pool;
+
+/** One shop server: the parts, wired together on one event loop, from its start to its end. */
+public final class Server {
+    private static final long MILLI = 1000;
+    private static final long TRIM_PERIOD = 50 * MILLI;
+    private static final long LEAVE_PERIOD = 20 * MILLI;
+    private static final long LAST_MOMENT = 150 * MILLI; // before the stop, at which the process ends by itself
+    private static final int SPARE_SOCKETS = 64; // for the links, the listeners and the files of the runtime
+    private static final int PAGE = 8192;
+    private static final int CHUNK_ORDER = 5; // chunks of 256 KiB
+
+    private final Config config;
+    private final Log log;
+    private final Counters counters = new Counters();
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final PooledByteBufAllocator allocator =
+            new PooledByteBufAllocator(true, 1, 1, PAGE, CHUNK_ORDER, 0, 0, false);
+    private final LoopTimers timers = new LoopTimers(loop);
+    private final List<Listener> listeners = new ArrayList<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final Pool pool;
+    private final Broker broker;
+    private final Announcer announcer;
+    private long idleSpan;
+    private long stopAt;
+
+    /**
+     * Wires a server that is not started yet.
+     *
+     * @param config what it is told
+     * @param log takes lines of the log
+     */
+    public Server(Config config, Log log) {
+        this.config = config;
+        this.log = log;
+        pool = new Pool(new Dialer(loop, allocator, config.pool()), timers, counters, log);
+        broker = new Broker(config.settings(), Brain::new, pool, timers, counters, log);
+        announcer = new Announcer(new Dialer(loop, allocator, config.announce()), config.name(),
+                () -> !broker.draining(), timers, counters, log);
+        idleSpan = config.settings().signals().idle();
+        broker.trimWith(span -> idleSpan = span);
+    }
+
+    /**
+     * Starts: listens, links to the pool, reports.
+     *
+     * @throws IOException where it cannot listen
+     */
+    public void start() throws IOException {
+        listen("fastcgi", () -> new FastCgiConnection(broker, log, counters), config.listen());
+        loop.execute(() -> {
+            pool.link(broker);
+            announcer.start();
+            trim();
+        });
+        log.line("start name=" + config.name() + " listen=" + config.listen());
+    }
+
+    private void listen(String side, Supplier<Connection> maker, InetSocketAddress address) throws IOException {
+        Listener listener = new Listener(side, maker, Math.max(1, config.sockets() - SPARE_SOCKETS), timers,
+                counters);
+        ChannelFuture bound = listener.listen(loop, allocator, address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + address + ": " + bound.cause().getMessage());
+        }
+        listeners.add(listener);
+    }
+
+    private void trim() {
+        timers.at(timers.now() + TRIM_PERIOD, this::trim);
+        if (idleSpan > 0) {
+            listeners.forEach(one -> one.trim(idleSpan, Reason.IDLE));
+        }
+    }
+
+    /** The notice to leave: may come from any thread, and more than once. */
+    public void drain() {
+        loop.execute(() -> {
+            if (!broker.draining()) {
+                stopAt = timers.now() + config.stopMs() * MILLI;
+                broker.drain(config.stopMs() * MILLI);
+                listeners.forEach(Listener::stop);
+                announcer.stop();
+                leave();
+            }
+        });
+    }
+
+    /** Connections are closed once nothing is open on them, and the process ends when all is answered. */
+    private void leave() {
+        boolean last = timers.now() >= stopAt - LAST_MOMENT;
+        listeners.forEach(one -> one.trim(last ? 0 : LEAVE_PERIOD, Reason.DRAIN));
+        if (last || broker.owed() == 0 && listeners.stream().allMatch(one -> one.open() == 0)) {
+            log.line("leave owed=" + broker.owed());
+            pool.stop();
+            ended.countDown();
+        } else {
+            timers.at(timers.now() + LEAVE_PERIOD, this::leave);
+        }
+    }
+
+    /**
+     * The counts so far.
+     *
+     * @return one line
+     */
+    public String counts() {
+        CompletableFuture<String> line = new CompletableFuture<>();
+        loop.execute(() -> line.complete("counts in_hand=" + broker.inHand() + " owed=" + broker.owed() + " "
+                + counters));
+        try {
+            return line.get(1, TimeUnit.SECONDS);
+        } catch (InterruptedException | java.util.concurrent.ExecutionException
+                | java.util.concurrent.TimeoutException late) {
+            return "counts unknown";
+        }
+    }
+
+    /**
+     * Waits until the server has left after a notice.
+     *
+     * @throws InterruptedException where the wait is broken off
+     */
+    public void await() throws InterruptedException {
+        ended.await();
+    }
+
+    /** Ends the event loop. */
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
--- a/src/main/java/canvaspaddle/wire/SettingsCodec.java
+++ b/src/main/java/mothwing/settings/SettingsCodec.java
@@ -1,4 +1,4 @@
-package canvaspaddle.wire;
+package mothwing.settings;
 
 import canvaspaddle.OverloadControl.Dependency;
 import canvaspaddle.OverloadControl.FreeValue;
@@ -14,16 +14,23 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Turns the settings of a start event into {@link Settings}; unknown keys are ignored. */
-final class SettingsCodec {
+/** Turns the JSON object of the settings, in the names of the simulator's wire, into {@link Settings}; unknown keys are ignored. */
+public final class SettingsCodec {
     private SettingsCodec() {
     }
 
-    static Settings read(Fields event) throws BadInput {
-        Fields options = event.requiredInner("Options");
+    /**
+     * Reads the settings.
+     *
+     * @param seed seed of the random numbers of this life
+     * @param options the object of the settings
+     * @return the settings
+     * @throws BadInput where a field is missing or of a wrong type
+     */
+    public static Settings read(long seed, Fields options) throws BadInput {
         Fields extra = options.inner("Extra");
         Fields goal = options.inner("ScoreParts");
-        return new Settings(event.whole("Seed", 0), options.whole("Round", 0), classes(options, extra),
+        return new Settings(seed, options.whole("Round", 0), classes(options, extra),
                 tenants(options), (int) options.whole("ReplicasOfMe", 1), (int) extra.whole("Callers", 0),
                 options.text("CountedBy", "request").equals("work"), options.number("OverShareWorth", 1),
                 extra.whole("Fresh", 0),
