--- a/src/main/java/canvaspaddle/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -1,14 +1,5 @@
-package canvaspaddle;
-
-import canvaspaddle.OverloadControl.Controller;
-import canvaspaddle.OverloadControl.FreeValue;
-import canvaspaddle.OverloadControl.Halting;
-import canvaspaddle.OverloadControl.Host;
-import canvaspaddle.OverloadControl.Outcome;
-import canvaspaddle.OverloadControl.Repeats;
-import canvaspaddle.OverloadControl.Request;
-import canvaspaddle.OverloadControl.RequestClass;
-import canvaspaddle.OverloadControl.Settings;
+package mothwing;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -19,6 +10,15 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import mothwing.OverloadControl.Controller;
+import mothwing.OverloadControl.FreeValue;
+import mothwing.OverloadControl.Halting;
+import mothwing.OverloadControl.Host;
+import mothwing.OverloadControl.Outcome;
+import mothwing.OverloadControl.Repeats;
+import mothwing.OverloadControl.Request;
+import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Settings;
 
 /**
  * All decisions of the overload controller of one server, after QGuard. Interface: OverloadControl.java.
--- a/src/main/java/canvaspaddle/OverloadControl.java
+++ b/src/main/java/mothwing/OverloadControl.java
@@ -1,4 +1,4 @@
-package canvaspaddle;
+package mothwing;
 
 import java.util.List;
 
--- a/src/main/java/canvaspaddle/wire/ActionWriter.java
+++ b/src/main/java/mothwing/adapter/ActionWriter.java
@@ -1,10 +1,10 @@
-package canvaspaddle.wire;
+package mothwing.adapter;
 
-import canvaspaddle.OverloadControl.Host;
 import com.google.gson.stream.JsonWriter;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import mothwing.OverloadControl.Host;
 
 /** Writes the actions of one instance, as the elements of a JSON array, in the order in which they come. */
 final class ActionWriter implements Host {
--- a/src/main/java/canvaspaddle/wire/Drill.java
+++ b/src/main/java/mothwing/adapter/Adapter.java
@@ -1,4 +1,4 @@
-package canvaspaddle.wire;
+package mothwing.adapter;
 
 import com.google.gson.stream.JsonReader;
 import com.google.gson.stream.JsonToken;
@@ -24,20 +24,20 @@
 import mothwing.settings.SettingsCodec;
 
 /** Answers batches of events, one JSON line each, with one JSON line of actions each, until the input ends. */
-public final class Drill {
+public final class Adapter {
     private final BufferedReader input;
     private final Writer output;
     private final PrintStream complaints;
     private final Map<Long, Instance> instances = new LinkedHashMap<>();
 
     /**
-     * Makes a drill.
+     * Makes a adapter.
      *
      * @param input event lines
      * @param output action lines
      * @param complaints plain words on what went wrong
      */
-    public Drill(InputStream input, OutputStream output, PrintStream complaints) {
+    public Adapter(InputStream input, OutputStream output, PrintStream complaints) {
         this.input = new BufferedReader(new InputStreamReader(input, StandardCharsets.UTF_8));
         this.output = new BufferedWriter(new OutputStreamWriter(output, StandardCharsets.UTF_8));
         this.complaints = complaints;
--- a/src/main/java/canvaspaddle/wire/Instance.java
+++ b/src/main/java/mothwing/adapter/Instance.java
@@ -1,14 +1,14 @@
-package canvaspaddle.wire;
+package mothwing.adapter;
 
-import canvaspaddle.Brain;
-import canvaspaddle.OverloadControl.Controller;
-import canvaspaddle.OverloadControl.Outcome;
-import canvaspaddle.OverloadControl.Request;
-import canvaspaddle.OverloadControl.RequestClass;
-import canvaspaddle.OverloadControl.Settings;
-import canvaspaddle.OverloadControl.Tenant;
 import java.util.HashMap;
 import java.util.Map;
+import mothwing.Brain;
+import mothwing.OverloadControl.Controller;
+import mothwing.OverloadControl.Outcome;
+import mothwing.OverloadControl.Request;
+import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Settings;
+import mothwing.OverloadControl.Tenant;
 import mothwing.settings.BadInput;
 import mothwing.settings.Fields;
 
--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -1,15 +1,5 @@
 package mothwing.broker;
 
-import canvaspaddle.OverloadControl.Controller;
-import canvaspaddle.OverloadControl.Halting;
-import canvaspaddle.OverloadControl.Host;
-import canvaspaddle.OverloadControl.Machine;
-import canvaspaddle.OverloadControl.Outcome;
-import canvaspaddle.OverloadControl.Repeats;
-import canvaspaddle.OverloadControl.Request;
-import canvaspaddle.OverloadControl.RequestClass;
-import canvaspaddle.OverloadControl.Settings;
-import canvaspaddle.OverloadControl.Tenant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,6 +9,16 @@
 import java.util.Map;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import mothwing.OverloadControl.Controller;
+import mothwing.OverloadControl.Halting;
+import mothwing.OverloadControl.Host;
+import mothwing.OverloadControl.Machine;
+import mothwing.OverloadControl.Outcome;
+import mothwing.OverloadControl.Repeats;
+import mothwing.OverloadControl.Request;
+import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Settings;
+import mothwing.OverloadControl.Tenant;
 
 /**
  * The core: it owns every open request, gives the controller its events in batches a round apart, and carries
--- a/src/main/java/mothwing/cli/Commands.java
+++ b/src/main/java/mothwing/cli/Commands.java
@@ -1,12 +1,12 @@
 package mothwing.cli;
 
-import canvaspaddle.wire.Drill;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.nio.file.NoSuchFileException;
 import java.util.Arrays;
 import java.util.Map;
+import mothwing.adapter.Adapter;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -53,10 +53,10 @@
         switch (name) {
             case "serve":
                 return serve(line.getOptionValue("config", System.getenv().getOrDefault("EDGE_CONFIG", "")), out, err);
-            case "drill":
-                return new Drill(in, out, err).run();
+            case "adapter":
+                return new Adapter(in, out, err).run();
             default:
-                err.println("usage: java -jar canvaspaddle.jar serve|drill");
+                err.println("usage: java -jar mothwing.jar serve|adapter");
                 return USAGE;
         }
     }
--- a/src/main/java/mothwing/pool/PoolLink.java
+++ b/src/main/java/mothwing/pool/PoolLink.java
@@ -1,6 +1,5 @@
 package mothwing.pool;
 
-import canvaspaddle.OverloadControl.Outcome;
 import com.google.gson.Gson;
 import com.google.gson.JsonParseException;
 import com.google.gson.stream.JsonReader;
@@ -9,6 +8,7 @@
 import java.io.StringReader;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import mothwing.OverloadControl.Outcome;
 import mothwing.broker.Broker;
 import mothwing.broker.Counters;
 import mothwing.broker.Exchange;
--- a/src/main/java/mothwing/server/Config.java
+++ b/src/main/java/mothwing/server/Config.java
@@ -1,10 +1,10 @@
 package mothwing.server;
 
-import canvaspaddle.OverloadControl.Settings;
 import com.google.gson.stream.JsonReader;
 import java.io.IOException;
 import java.io.Reader;
 import java.net.InetSocketAddress;
+import mothwing.OverloadControl.Settings;
 import mothwing.settings.BadInput;
 import mothwing.settings.Fields;
 import mothwing.settings.SettingsCodec;
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -1,6 +1,5 @@
 package mothwing.server;
 
-import canvaspaddle.Brain;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -13,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import mothwing.Brain;
 import mothwing.announce.Announcer;
 import mothwing.broker.Broker;
 import mothwing.broker.Counters;
--- a/src/main/java/mothwing/settings/SettingsCodec.java
+++ b/src/main/java/mothwing/settings/SettingsCodec.java
@@ -1,18 +1,18 @@
 package mothwing.settings;
 
-import canvaspaddle.OverloadControl.Dependency;
-import canvaspaddle.OverloadControl.FreeValue;
-import canvaspaddle.OverloadControl.Goal;
-import canvaspaddle.OverloadControl.Halting;
-import canvaspaddle.OverloadControl.Machine;
-import canvaspaddle.OverloadControl.Repeats;
-import canvaspaddle.OverloadControl.RequestClass;
-import canvaspaddle.OverloadControl.Rules;
-import canvaspaddle.OverloadControl.Settings;
-import canvaspaddle.OverloadControl.Signals;
-import canvaspaddle.OverloadControl.Tenant;
 import java.util.ArrayList;
 import java.util.List;
+import mothwing.OverloadControl.Dependency;
+import mothwing.OverloadControl.FreeValue;
+import mothwing.OverloadControl.Goal;
+import mothwing.OverloadControl.Halting;
+import mothwing.OverloadControl.Machine;
+import mothwing.OverloadControl.Repeats;
+import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Rules;
+import mothwing.OverloadControl.Settings;
+import mothwing.OverloadControl.Signals;
+import mothwing.OverloadControl.Tenant;
 
 /** Turns the JSON object of the settings, in the names of the simulator's wire, into {@link Settings}; unknown keys are ignored. */
 public final class SettingsCodec {
--- a/src/test/java/canvaspaddle/ProjectTest.java
+++ b/src/test/java/mothwing/ProjectTest.java
@@ -1,4 +1,4 @@
-package canvaspaddle;
+package mothwing;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -17,7 +17,7 @@
     private static final int MOST_COLUMNS = 110;
 
     private static List<String> brain() throws IOException {
-        return Files.readAllLines(Path.of("src/main/java/canvaspaddle/Brain.java"));
+        return Files.readAllLines(Path.of("src/main/java/mothwing/Brain.java"));
     }
 
     @Test
@@ -49,7 +49,7 @@
         for (String name : names) {
             assertTrue(Files.isRegularFile(Path.of(name)), name);
         }
-        assertTrue(deploy.contains("target/canvaspaddle.jar drill"));
-        assertTrue(Files.readString(Path.of("pom.xml")).contains("<finalName>canvaspaddle</finalName>"));
+        assertTrue(deploy.contains("target/mothwing.jar adapter"));
+        assertTrue(Files.readString(Path.of("pom.xml")).contains("<finalName>mothwing</finalName>"));
     }
 }
--- a/src/test/java/canvaspaddle/RandomTroubleTest.java
+++ b/src/test/java/mothwing/RandomTroubleTest.java
@@ -1,23 +1,23 @@
-package canvaspaddle;
+package mothwing;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import canvaspaddle.OverloadControl.Dependency;
-import canvaspaddle.OverloadControl.FreeValue;
-import canvaspaddle.OverloadControl.Goal;
-import canvaspaddle.OverloadControl.Halting;
-import canvaspaddle.OverloadControl.Machine;
-import canvaspaddle.OverloadControl.Outcome;
-import canvaspaddle.OverloadControl.Repeats;
-import canvaspaddle.OverloadControl.Request;
-import canvaspaddle.OverloadControl.RequestClass;
-import canvaspaddle.OverloadControl.Rules;
-import canvaspaddle.OverloadControl.Settings;
-import canvaspaddle.OverloadControl.Signals;
-import canvaspaddle.OverloadControl.Tenant;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import mothwing.OverloadControl.Dependency;
+import mothwing.OverloadControl.FreeValue;
+import mothwing.OverloadControl.Goal;
+import mothwing.OverloadControl.Halting;
+import mothwing.OverloadControl.Machine;
+import mothwing.OverloadControl.Outcome;
+import mothwing.OverloadControl.Repeats;
+import mothwing.OverloadControl.Request;
+import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Rules;
+import mothwing.OverloadControl.Settings;
+import mothwing.OverloadControl.Signals;
+import mothwing.OverloadControl.Tenant;
 import org.junit.jupiter.api.Test;
 
 /** Random sequences with fixed seeds; the host asserts the four rules after every batch of every one. */
--- a/src/test/java/canvaspaddle/RecordingHost.java
+++ b/src/test/java/mothwing/RecordingHost.java
@@ -1,21 +1,21 @@
-package canvaspaddle;
+package mothwing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import canvaspaddle.OverloadControl.Halting;
-import canvaspaddle.OverloadControl.Host;
-import canvaspaddle.OverloadControl.Outcome;
-import canvaspaddle.OverloadControl.Repeats;
-import canvaspaddle.OverloadControl.Request;
-import canvaspaddle.OverloadControl.RequestClass;
-import canvaspaddle.OverloadControl.Settings;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import mothwing.OverloadControl.Halting;
+import mothwing.OverloadControl.Host;
+import mothwing.OverloadControl.Outcome;
+import mothwing.OverloadControl.Repeats;
+import mothwing.OverloadControl.Request;
+import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Settings;
 
 /**
  * Feeds one Brain with scripted events, records its actions and asserts the four rules on every one of them:
