Add the AJP/1.3 front on the same broker, with models of both fronts' connections

Forward Request, body chunks, Get Body Chunk, Send Headers, Send Body Chunk, End Response with reuse, CPing; one request at a time; a close is the caller leaving. What both fronts do alike stands in net.Reply.

--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -213,12 +213,12 @@
     }
 
     /**
-     * How many requests are open: owed an answer or still with the pool.
+     * The counts so far.
      *
-     * @return their number
+     * @return one line of {@code name=value} words
      */
-    public int inHand() {
-        return open.size();
+    public String counts() {
+        return "in_hand=" + open.size() + " owed=" + owed() + " " + counters;
     }
 
     /**
--- a/src/main/java/mothwing/cli/Commands.java
+++ b/src/main/java/mothwing/cli/Commands.java
@@ -5,7 +5,6 @@
 import java.io.PrintStream;
 import java.nio.file.NoSuchFileException;
 import java.util.Arrays;
-import java.util.Map;
 import mothwing.adapter.Adapter;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -38,6 +37,8 @@
         if (name.equals("serve")) {
             options.addOption(Option.builder("c").longOpt("config").hasArg().argName("FILE")
                     .desc("the configuration; else the file that EDGE_CONFIG names").get());
+            options.addOption(Option.builder("a").longOpt("ajp").hasArg().argName("FILE")
+                    .desc("also speak AJP/1.3 where this file says").get());
         }
         CommandLine line;
         try {
@@ -52,7 +53,8 @@
         }
         switch (name) {
             case "serve":
-                return serve(line.getOptionValue("config", System.getenv().getOrDefault("EDGE_CONFIG", "")), out, err);
+                return serve(line.getOptionValue("config", System.getenv().getOrDefault("EDGE_CONFIG", "")),
+                        line.getOptionValue("ajp"), out, err);
             case "adapter":
                 return new Adapter(in, out, err).run();
             default:
@@ -61,15 +63,16 @@
         }
     }
 
-    private static int serve(String path, PrintStream out, PrintStream err) throws InterruptedException {
+    private static int serve(String path, String ajp, PrintStream out, PrintStream err)
+            throws InterruptedException {
         if (path.isEmpty()) {
             err.println("serve: no configuration: give --config or EDGE_CONFIG");
             return USAGE;
         }
         try {
-            return Serve.run(path, out);
+            return Serve.run(path, ajp, out);
         } catch (NoSuchFileException missing) {
-            err.println("serve: " + path + ": no such file");
+            err.println("serve: " + missing.getMessage() + ": no such file");
         } catch (IOException | IllegalArgumentException bad) {
             err.println("serve: " + bad.getMessage());
         }
--- a/src/main/java/mothwing/cli/Serve.java
+++ b/src/main/java/mothwing/cli/Serve.java
@@ -14,13 +14,13 @@
     private Serve() {
     }
 
-    static int run(String path, PrintStream out) throws IOException, InterruptedException {
+    static int run(String path, String ajp, PrintStream out) throws IOException, InterruptedException {
         Config config;
         try (Reader text = Files.newBufferedReader(Path.of(path))) {
             config = Config.read(text);
         }
         Log log = line -> out.println(System.currentTimeMillis() + " " + line);
-        Server server = new Server(config, log);
+        Server server = new Server(config, ajp == null ? null : Config.readListen(Path.of(ajp)), log);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, log, out), "leave"));
         server.start();
         server.await();
--- a/src/main/java/mothwing/fastcgi/FastCgi.java
+++ b/src/main/java/mothwing/fastcgi/FastCgi.java
@@ -22,7 +22,6 @@
     static final int RESPONDER = 1;
     static final int KEEP_CONN = 1;
     static final int REQUEST_COMPLETE = 0;
-    static final int OVERLOADED = 2;
     static final int UNKNOWN_ROLE = 3;
 
     private static final int MOST_CONTENT = 0xFFFF;
--- a/src/main/java/mothwing/fastcgi/FastCgiConnection.java
+++ b/src/main/java/mothwing/fastcgi/FastCgiConnection.java
@@ -10,14 +10,13 @@
 import java.util.Map;
 import mothwing.broker.Arrival;
 import mothwing.broker.Broker;
-import mothwing.broker.Caller;
 import mothwing.broker.Counters;
-import mothwing.broker.Exchange;
 import mothwing.broker.Log;
 import mothwing.net.Connection;
 import mothwing.net.Headers;
 import mothwing.net.Malformed;
 import mothwing.net.Reason;
+import mothwing.net.Reply;
 
 /** One connection of a gateway that speaks FastCGI: its open requests, by the numbers that the gateway gave. */
 public final class FastCgiConnection extends Connection {
@@ -45,7 +44,7 @@
     }
 
     /** A request of this connection, from its begin to its end. */
-    private final class Asked implements Caller {
+    private final class Asked extends Reply {
         private final int id;
         private final boolean keep;
         private byte[] params = NOTHING;
@@ -53,46 +52,69 @@
         private boolean paramsWhole;
         private boolean read;
         private String bad;
-        private Exchange exchange;
 
         Asked(int id, boolean keep) {
+            super(broker);
             this.id = id;
             this.keep = keep;
         }
 
         @Override
-        public void served(byte[] result) {
-            answer(FastCgi.REQUEST_COMPLETE, 200, List.of(), result);
+        protected void rejected(String code) {
+            count("rejected-" + code);
         }
 
         @Override
-        public void refused(boolean last, long holdOffMs) {
-            answer(FastCgi.REQUEST_COMPLETE, 503, Headers.refusal(last, holdOffMs), NOTHING);
+        protected void write(int status, List<String[]> fields, byte[] content) {
+            if (!open.remove(id, this)) {
+                return;
+            }
+            StringBuilder head = new StringBuilder("Status: ").append(status).append(' ')
+                    .append(Headers.phrase(status)).append("\r\n");
+            fields.forEach(one -> head.append(one[0]).append(": ").append(one[1]).append("\r\n"));
+            byte[] first = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+            ByteBuf out = room(first.length + content.length + 5 * FastCgi.HEADER);
+            FastCgi.stream(out, FastCgi.STDOUT, id, first, content);
+            FastCgi.end(out, id, FastCgi.REQUEST_COMPLETE);
+            count("answered-" + status);
+            send(out);
+            if (!keep) {
+                close(Reason.ASKED, "");
+            }
         }
 
-        @Override
-        public void failed(String code) {
-            answer(FastCgi.REQUEST_COMPLETE, 500, List.of(), code.getBytes(StandardCharsets.ISO_8859_1));
+        /** The last byte of the request is there. */
+        void whole() {
+            count("requests");
+            if (bad != null || !paramsWhole) {
+                reject(bad != null ? bad : "params-not-ended");
+                return;
+            }
+            Arrival.Fields fields = new Arrival.Fields();
+            String[] of = {"", ""};
+            try {
+                FastCgi.pairs(Unpooled.wrappedBuffer(params), (name, value) -> {
+                    if (name.equals("SCRIPT_NAME")) {
+                        of[0] = value;
+                    } else if (name.equals("QUERY_STRING")) {
+                        of[1] = value;
+                    } else if (name.startsWith("HTTP_")) {
+                        fields.set(name.substring("HTTP_".length()).replace('_', '-'), value);
+                    }
+                });
+            } catch (Malformed cut) {
+                reject("bad-params");
+                return;
+            }
+            params = NOTHING;
+            whole(of[0], of[1], fields, body);
         }
 
-        void answer(int protocolStatus, int status, List<String[]> more, byte[] content) {
-            if (open.remove(id, this)) {
-                StringBuilder head = new StringBuilder("Status: ").append(Headers.line(status)).append("\r\n");
-                List<String[]> all = new ArrayList<>(more);
-                all.add(Headers.feedback(broker.feedback()));
-                all.add(new String[] {"Content-Type", "application/octet-stream"});
-                all.add(new String[] {"Content-Length", Integer.toString(content.length)});
-                all.forEach(one -> head.append(one[0]).append(": ").append(one[1]).append("\r\n"));
-                byte[] first = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-                ByteBuf out = room(first.length + content.length + 5 * FastCgi.HEADER);
-                FastCgi.stream(out, FastCgi.STDOUT, id, first, content);
-                FastCgi.end(out, id, protocolStatus);
-                count("answered-" + status);
-                send(out);
-                if (!keep) {
-                    close(Reason.ASKED, "");
-                }
-            }
+        /** The gateway has stopped waiting. The answer that lets it use the number again does no harm. */
+        void abort() {
+            count("aborted");
+            leave();
+            failed("aborted");
         }
     }
 
@@ -128,7 +150,11 @@
         Asked asked = open.get(id);
         switch (type) {
             case FastCgi.BEGIN_REQUEST -> begin(id, content);
-            case FastCgi.ABORT_REQUEST -> abort(asked);
+            case FastCgi.ABORT_REQUEST -> {
+                if (asked != null) { // else it crossed the answer
+                    asked.abort();
+                }
+            }
             case FastCgi.PARAMS -> params(asked, content);
             case FastCgi.STDIN -> body(asked, content);
             default -> throw new Malformed(Reason.MALFORMED, "record of type " + type);
@@ -166,22 +192,14 @@
         Asked asked = new Asked(id, (content.getByte(2) & FastCgi.KEEP_CONN) != 0);
         open.put(id, asked);
         if (content.getUnsignedShort(0) != FastCgi.RESPONDER) {
-            asked.answer(FastCgi.UNKNOWN_ROLE, 501, List.of(), NOTHING);
+            open.remove(id);
+            ByteBuf out = room(2 * FastCgi.HEADER);
+            FastCgi.end(out, id, FastCgi.UNKNOWN_ROLE);
+            count("unknown-role");
+            send(out);
         }
     }
 
-    /** The gateway has stopped waiting. The answer that lets it use the number again does no harm. */
-    private void abort(Asked asked) {
-        if (asked == null) {
-            return; // it crossed the answer
-        }
-        count("aborted");
-        if (asked.exchange != null) {
-            broker.gone(asked.exchange);
-        }
-        asked.failed("aborted");
-    }
-
     private void params(Asked asked, ByteBuf content) {
         if (asked == null || asked.paramsWhole) {
             return;
@@ -207,7 +225,7 @@
             }
         } else {
             asked.read = true;
-            whole(asked);
+            asked.whole();
         }
     }
 
@@ -217,56 +235,10 @@
         return all;
     }
 
-    /** The last byte of a request is there. */
-    private void whole(Asked asked) {
-        count("requests");
-        if (asked.bad != null || !asked.paramsWhole) {
-            reject(asked, asked.bad != null ? asked.bad : "params-not-ended");
-            return;
-        }
-        Arrival.Fields fields = new Arrival.Fields();
-        String[] of = {"", ""};
-        try {
-            FastCgi.pairs(Unpooled.wrappedBuffer(asked.params), (name, value) -> {
-                if (name.equals("SCRIPT_NAME")) {
-                    of[0] = value;
-                } else if (name.equals("QUERY_STRING")) {
-                    of[1] = value;
-                } else if (name.startsWith("HTTP_")) {
-                    fields.set(name.substring(5).replace('_', '-'), value);
-                }
-            });
-        } catch (Malformed bad) {
-            reject(asked, "bad-params");
-            return;
-        }
-        asked.params = NOTHING;
-        if (of[0].equals("/ping")) {
-            broker.check(Headers.probes(of[1]), good ->
-                    asked.answer(FastCgi.REQUEST_COMPLETE, good ? 200 : 503, List.of(), NOTHING));
-            return;
-        }
-        try {
-            Arrival arrival = fields.at(of[0], asked.body);
-            asked.exchange = broker.read(arrival, asked);
-        } catch (Arrival.Bad bad) {
-            reject(asked, bad.getMessage());
-        }
-    }
-
-    private void reject(Asked asked, String code) {
-        count("rejected-" + code);
-        asked.answer(FastCgi.REQUEST_COMPLETE, 400, List.of(), code.getBytes(StandardCharsets.ISO_8859_1));
-    }
-
     @Override
     protected void ended() {
         List<Asked> left = new ArrayList<>(open.values());
         open.clear();
-        for (Asked asked : left) {
-            if (asked.exchange != null) {
-                broker.gone(asked.exchange);
-            }
-        }
+        left.forEach(Asked::leave);
     }
 }
--- a/src/main/java/mothwing/net/Headers.java
+++ b/src/main/java/mothwing/net/Headers.java
@@ -36,16 +36,6 @@
         return new String[] {"Feedback", java.math.BigDecimal.valueOf(value).toPlainString()};
     }
 
-    /**
-     * A status with its words.
-     *
-     * @param status its number
-     * @return the number and the reason phrase
-     */
-    public static String line(int status) {
-        return status + " " + phrase(status);
-    }
-
     /**
      * The reason phrase of a status.
      *
@@ -57,7 +47,6 @@
             case 200 -> "OK";
             case 400 -> "Bad Request";
             case 413 -> "Content Too Large";
-            case 501 -> "Not Implemented";
             case 503 -> "Service Unavailable";
             default -> "Internal Server Error";
         };
--- a/src/main/java/mothwing/server/Config.java
+++ b/src/main/java/mothwing/server/Config.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.io.Reader;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import mothwing.OverloadControl.Settings;
 import mothwing.settings.BadInput;
 import mothwing.settings.Fields;
@@ -33,15 +35,31 @@
      * @throws IOException where it cannot be understood; the message names the field
      */
     public static Config read(Reader json) throws IOException {
-        Fields all;
+        Fields all = object(json);
+        return new Config(all.text("name"), address(all, "listen"), address(all, "pool"), address(all, "announce"),
+                all.whole("stop_ms"), (int) all.inner("limits").whole("sockets", SOCKETS),
+                SettingsCodec.read(seed(all.text("seed", "0")), all.requiredInner("settings")));
+    }
+
+    /**
+     * Reads the file that says where a front listens.
+     *
+     * @param file a JSON object with the field {@code listen}
+     * @return the address
+     * @throws IOException where it cannot be read or understood
+     */
+    public static InetSocketAddress readListen(Path file) throws IOException {
+        try (Reader text = Files.newBufferedReader(file)) {
+            return address(object(text), "listen");
+        }
+    }
+
+    private static Fields object(Reader json) throws IOException {
         try (JsonReader reader = new JsonReader(json)) {
-            all = Fields.read(reader);
+            return Fields.read(reader);
         } catch (IllegalStateException notObject) {
             throw new BadInput("not a JSON object");
         }
-        return new Config(all.text("name"), address(all, "listen"), address(all, "pool"), address(all, "announce"),
-                all.whole("stop_ms"), (int) all.inner("limits").whole("sockets", SOCKETS),
-                SettingsCodec.read(seed(all.text("seed", "0")), all.requiredInner("settings")));
     }
 
     private static long seed(String text) throws BadInput {
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import mothwing.Brain;
+import mothwing.ajp.AjpConnection;
 import mothwing.announce.Announcer;
 import mothwing.broker.Broker;
 import mothwing.broker.Counters;
@@ -35,6 +36,7 @@
     private static final int CHUNK_ORDER = 5; // chunks of 256 KiB
 
     private final Config config;
+    private final InetSocketAddress ajp;
     private final Log log;
     private final Counters counters = new Counters();
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -54,10 +56,12 @@
      * Wires a server that is not started yet.
      *
      * @param config what it is told
+     * @param ajp where to listen for AJP, or null for nowhere
      * @param log takes lines of the log
      */
-    public Server(Config config, Log log) {
+    public Server(Config config, InetSocketAddress ajp, Log log) {
         this.config = config;
+        this.ajp = ajp;
         this.log = log;
         pool = new Pool(new Dialer(loop, allocator, config.pool()), timers, counters, log);
         broker = new Broker(config.settings(), Brain::new, pool, timers, counters, log);
@@ -73,18 +77,22 @@
      * @throws IOException where it cannot listen
      */
     public void start() throws IOException {
-        listen("fastcgi", () -> new FastCgiConnection(broker, log, counters), config.listen());
+        int most = Math.max(1, (config.sockets() - SPARE_SOCKETS) / (ajp == null ? 1 : 2));
+        listen("fastcgi", () -> new FastCgiConnection(broker, log, counters), config.listen(), most);
+        if (ajp != null) {
+            listen("ajp", () -> new AjpConnection(broker, log, counters), ajp, most);
+        }
         loop.execute(() -> {
             pool.link(broker);
             announcer.start();
             trim();
         });
-        log.line("start name=" + config.name() + " listen=" + config.listen());
+        log.line("start name=" + config.name() + " listen=" + config.listen() + " ajp=" + (ajp == null ? "off" : ajp));
     }
 
-    private void listen(String side, Supplier<Connection> maker, InetSocketAddress address) throws IOException {
-        Listener listener = new Listener(side, maker, Math.max(1, config.sockets() - SPARE_SOCKETS), timers,
-                counters);
+    private void listen(String side, Supplier<Connection> maker, InetSocketAddress address, int most)
+            throws IOException {
+        Listener listener = new Listener(side, maker, most, timers, counters);
         ChannelFuture bound = listener.listen(loop, allocator, address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen on " + address + ": " + bound.cause().getMessage());
@@ -132,8 +140,7 @@
      */
     public String counts() {
         CompletableFuture<String> line = new CompletableFuture<>();
-        loop.execute(() -> line.complete("counts in_hand=" + broker.inHand() + " owed=" + broker.owed() + " "
-                + counters));
+        loop.execute(() -> line.complete("counts " + broker.counts()));
         try {
             return line.get(1, TimeUnit.SECONDS);
         } catch (InterruptedException | java.util.concurrent.ExecutionException
--- /dev/null
+++ b/src/test/java/mothwing/testing/Stand.java
@@ -0,0 +1,193 @@
+package mothwing.testing;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import mothwing.Brain;
+import mothwing.OverloadControl.Dependency;
+import mothwing.OverloadControl.FreeValue;
+import mothwing.OverloadControl.Goal;
+import mothwing.OverloadControl.Halting;
+import mothwing.OverloadControl.Machine;
+import mothwing.OverloadControl.Outcome;
+import mothwing.OverloadControl.Repeats;
+import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Rules;
+import mothwing.OverloadControl.Settings;
+import mothwing.OverloadControl.Signals;
+import mothwing.OverloadControl.Tenant;
+import mothwing.broker.Broker;
+import mothwing.broker.Counters;
+import mothwing.broker.Exchange;
+import mothwing.broker.Timers;
+import mothwing.broker.Workers;
+import mothwing.net.Connection;
+
+/** What the tests of connections share: a broker with the real decisions, a clock by hand and a pool by hand. */
+public final class Stand implements Timers, Workers {
+    /** The wall clock at the start. */
+    public static final long WALL_MS = 1_764_576_000_000L;
+    /** The class that may be repeated. */
+    public static final String LOOK = "stock-check";
+    /** The class that must run once. */
+    public static final String ORDER = "place-order";
+
+    private static final long SECOND = 1_000_000;
+
+    private record Due(long at, long order, Runnable work) { }
+
+    /** Runs handed to the pool and not ended, with what each would give. */
+    public final Map<String, byte[]> running = new LinkedHashMap<>();
+    /** How often each request was handed to the pool. */
+    public final Map<String, Integer> spawns = new LinkedHashMap<>();
+    /** Lines of the log. */
+    public final List<String> lines = new ArrayList<>();
+    /** Counts. */
+    public final Counters counters = new Counters();
+    /** The core under test. */
+    public final Broker broker;
+    /** Whether the pool can be reached. */
+    public boolean linked = true;
+
+    private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) ->
+            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private long now;
+    private long order;
+
+    /** Makes a broker that the pool has not bound yet. */
+    public Stand() {
+        broker = new Broker(settings(4.5, 2), Brain::new, this, this, counters, lines::add);
+    }
+
+    /** Settings like the site's, with patience in seconds and a number of cores. */
+    public static Settings settings(double patience, int cores) {
+        long deadline = (long) (patience * SECOND);
+        long aim = deadline * 2 / 5;
+        return new Settings(7, 2_000, List.of(
+                new RequestClass(LOOK, aim, deadline, 1, 0, Repeats.SAFE, 0, false, 0),
+                new RequestClass(ORDER, aim, deadline, 10, 0, Repeats.SINGLE_SHOT, 0, false, 0)),
+                List.of(new Tenant("one", 1e6)), 10, 3, false, 0.05, 0, new Goal(0.5, 0.1, 0.3, 0.1),
+                new Rules(100_000, 2 * SECOND, 8, 2 * SECOND, 0.3, 10 * SECOND), new Dependency(0, 5 * SECOND, 0),
+                new Machine(cores, 90_000, 16, 0, false, List.of("cpu_busy", "runnable", "mem_used", "sockets"),
+                        Halting.SUSPEND),
+                new Signals(FreeValue.LEVEL, SECOND, true, SECOND, true, 30 * SECOND));
+    }
+
+    /** A trace id. */
+    public static String id(int number) {
+        return String.format("%016x", number);
+    }
+
+    /** The pool takes the link. */
+    public Stand bound() {
+        broker.bound(false, 3600 * SECOND);
+        return this;
+    }
+
+    /** Opens a connection without a network. */
+    public EmbeddedChannel open(Connection connection) {
+        return new EmbeddedChannel(connection);
+    }
+
+    /** Sends bytes of a gateway and lets it read what comes back. */
+    public void send(EmbeddedChannel channel, Gateway gateway, byte[] bytes) {
+        if (channel.isOpen()) {
+            channel.writeInbound(Unpooled.copiedBuffer(bytes));
+        }
+        read(channel, gateway);
+    }
+
+    /** Lets a gateway read what was sent to it. */
+    public void read(EmbeddedChannel channel, Gateway gateway) {
+        channel.runPendingTasks();
+        ByteBuf out;
+        while ((out = channel.readOutbound()) != null) {
+            byte[] bytes = new byte[out.readableBytes()];
+            out.readBytes(bytes);
+            out.release();
+            gateway.came(bytes);
+        }
+    }
+
+    /** Lets time pass, with all that comes due in it. */
+    public void pass(long micros) {
+        long until = now + micros;
+        while (!dues.isEmpty() && dues.peek().at <= until) {
+            Due due = dues.remove();
+            now = Math.max(now, due.at);
+            due.work.run();
+        }
+        now = until;
+    }
+
+    /** Ends a run of the pool. */
+    public void finish(String id, Outcome outcome) {
+        byte[] result = running.remove(id);
+        broker.finished(id, outcome, 1000, outcome == Outcome.GOOD ? result : null);
+    }
+
+    /** The name of some run, or null where there is none. */
+    public String someRun(int number) {
+        return running.isEmpty() ? null : List.copyOf(running.keySet()).get(number % running.size());
+    }
+
+    /** What the pool makes of a request. */
+    public static byte[] result(String id) {
+        return ("made for " + id).getBytes();
+    }
+
+    @Override
+    public long now() {
+        return now;
+    }
+
+    @Override
+    public long wallMs() {
+        return WALL_MS + now / 1000;
+    }
+
+    @Override
+    public void at(long at, Runnable work) {
+        dues.add(new Due(Math.max(now, at), order++, work));
+    }
+
+    @Override
+    public boolean ready() {
+        return linked;
+    }
+
+    @Override
+    public void spawn(Exchange exchange) {
+        String id = exchange.arrival().id();
+        spawns.merge(id, 1, Integer::sum);
+        running.put(id, result(id));
+    }
+
+    @Override
+    public void suspend(String id) {
+        if (running.remove(id) != null) {
+            at(now, () -> broker.finished(id, Outcome.STOPPED, 1000, null));
+        }
+    }
+
+    @Override
+    public void proceed(String id) {
+        running.put(id, result(id));
+    }
+
+    @Override
+    public void poll(String echo) {
+        double busy = Math.min(1, running.size() / 2.0);
+        at(now + 200, () -> broker.polled(echo, new double[] {busy, running.size(), 0.1, 1}));
+    }
+
+    @Override
+    public void verify(String echo) {
+        at(now + 200, () -> broker.verified(echo, true));
+    }
+}
