Test the whole server on loopback, an Eid rush over both fronts, and links that break

Stand-in gateways, pool and announce service of the project's own. Seen while writing them: the model first sent notices on a link whose bind the pool had not read, which the server rightly counted as a gap; the model was wrong and now waits for the bind.

--- a/src/main/java/mothwing/announce/Announcer.java
+++ b/src/main/java/mothwing/announce/Announcer.java
@@ -4,13 +4,14 @@
 import mothwing.broker.Counters;
 import mothwing.broker.Log;
 import mothwing.broker.Timers;
-import mothwing.net.Dialer;
+import mothwing.net.Dial;
+import mothwing.net.Reason;
 
 /** Keeps this shop server listed: a report every second, over a connection that is opened again when it breaks. */
 public final class Announcer {
     static final long PERIOD = 1_000_000;
 
-    private final Dialer dialer;
+    private final Dial dialer;
     private final String name;
     private final BooleanSupplier accepting;
     private final Timers timers;
@@ -30,7 +31,7 @@
      * @param counters counts what happens
      * @param log takes lines of the log
      */
-    public Announcer(Dialer dialer, String name, BooleanSupplier accepting, Timers timers, Counters counters,
+    public Announcer(Dial dialer, String name, BooleanSupplier accepting, Timers timers, Counters counters,
             Log log) {
         this.dialer = dialer;
         this.name = name;
@@ -61,7 +62,7 @@
     public void stop() {
         stopped = true;
         if (link != null) {
-            link.close(mothwing.net.Reason.DRAIN, "");
+            link.close(Reason.DRAIN, "");
         }
     }
 
--- a/src/main/java/mothwing/net/Dialer.java
+++ b/src/main/java/mothwing/net/Dialer.java
@@ -2,6 +2,8 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -11,7 +13,7 @@
 import java.util.function.Supplier;
 
 /** Opens connections to one address. */
-public final class Dialer {
+public final class Dialer implements Dial {
     private static final int MOST_WAIT_MS = 2000;
 
     private final EventLoop loop;
@@ -31,12 +33,7 @@
         this.address = address;
     }
 
-    /**
-     * Opens a connection.
-     *
-     * @param maker makes its state once it is open
-     * @param failed what to do where it cannot be opened
-     */
+    @Override
     public void dial(Supplier<? extends Connection> maker, Runnable failed) {
         new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, MOST_WAIT_MS)
@@ -55,7 +52,7 @@
     }
 
     /** Puts the state of the connection in its place once it is open, so that attempts leave no trace. */
-    private static final class Opening extends io.netty.channel.ChannelInboundHandlerAdapter {
+    private static final class Opening extends ChannelInboundHandlerAdapter {
         private final Supplier<? extends Connection> maker;
 
         Opening(Supplier<? extends Connection> maker) {
@@ -63,7 +60,7 @@
         }
 
         @Override
-        public void channelActive(io.netty.channel.ChannelHandlerContext ctx) {
+        public void channelActive(ChannelHandlerContext ctx) {
             Connection connection = maker.get();
             ctx.pipeline().replace(this, "connection", connection);
             ctx.pipeline().fireChannelActive();
--- a/src/main/java/mothwing/net/Listener.java
+++ b/src/main/java/mothwing/net/Listener.java
@@ -89,6 +89,15 @@
         accepted.pipeline().addLast(connection);
     }
 
+    /**
+     * Where it listens.
+     *
+     * @return the address, with the port that was given
+     */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) channel.localAddress();
+    }
+
     /**
      * How many connections are open.
      *
--- a/src/main/java/mothwing/pool/Pool.java
+++ b/src/main/java/mothwing/pool/Pool.java
@@ -9,7 +9,7 @@
 import mothwing.broker.Timers;
 import mothwing.broker.Workers;
 import mothwing.net.Connection;
-import mothwing.net.Dialer;
+import mothwing.net.Dial;
 
 /** The worker pool over its links: a link that breaks is opened again and goes on after the last notice read. */
 public final class Pool implements Workers {
@@ -19,7 +19,7 @@
     private static final long FIRST_WAIT = 20 * MILLI;
     private static final long LONGEST_WAIT = 500 * MILLI;
 
-    private final Dialer dialer;
+    private final Dial dialer;
     private final Timers timers;
     private final Counters counters;
     private final Log log;
@@ -37,7 +37,7 @@
      * @param counters counts what happens
      * @param log takes lines of the log
      */
-    public Pool(Dialer dialer, Timers timers, Counters counters, Log log) {
+    public Pool(Dial dialer, Timers timers, Counters counters, Log log) {
         this.dialer = dialer;
         this.timers = timers;
         this.counters = counters;
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -149,6 +149,15 @@
         }
     }
 
+    /**
+     * Where it listens: for FastCGI, then for AJP where it does.
+     *
+     * @return the addresses, with the ports that were given
+     */
+    public List<InetSocketAddress> listening() {
+        return listeners.stream().map(Listener::address).toList();
+    }
+
     /**
      * Waits until the server has left after a notice.
      *
--- /dev/null
+++ b/src/test/java/mothwing/pool/PoolTest.java
@@ -0,0 +1,192 @@
+package mothwing.pool;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mothwing.broker.Arrival;
+import mothwing.broker.Caller;
+import mothwing.net.Connection;
+import mothwing.testing.Stand;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.BeforeTry;
+
+/** Links that break at any moment, with what was on them, against a model of the pool. */
+class PoolTest {
+    private Stand stand;
+    private Pool pool;
+    private EmbeddedChannel channel;
+    private List<String> notices;
+    private Set<String> running;
+    private Map<String, Integer> runs;
+    private Map<String, String> answers;
+    private int made;
+    private boolean taken; // whether the pool has read the link's bind
+
+    @BeforeTry
+    void anew() {
+        notices = new ArrayList<>();
+        running = new LinkedHashSet<>();
+        runs = new HashMap<>();
+        answers = new HashMap<>();
+        made = 0;
+        stand = new Stand(of -> {
+            pool = new Pool((maker, failed) -> {
+                Connection link = maker.get();
+                taken = false;
+                channel = stand.open(link);
+            }, of, of.counters, of.lines::add);
+            return pool;
+        });
+        pool.link(stand.broker);
+    }
+
+    /** The pool reads all commands on the link, and answers them. */
+    private void turn() {
+        channel.runPendingTasks();
+        ByteBuf out;
+        while (channel.isOpen() && (out = channel.readOutbound()) != null) {
+            String text = out.toString(StandardCharsets.UTF_8);
+            out.release();
+            text.lines().forEach(line -> command(JsonParser.parseString(line).getAsJsonObject()));
+        }
+    }
+
+    private void command(JsonObject command) {
+        String id = command.has("uid") ? command.get("uid").getAsString() : "";
+        switch (command.get("action").getAsString()) {
+            case "bind" -> {
+                taken = true;
+                say("{\"action\":\"bound\",\"code\":\"fresh\",\"wall_ms\":5}");
+                List.copyOf(notices.subList(command.get("pos").getAsInt(), notices.size())).forEach(this::say);
+            }
+            case "spawn" -> {
+                if (running.add(id)) {
+                    runs.merge(id, 1, Integer::sum);
+                }
+            }
+            case "suspend" -> end(id, "aborted");
+            case "poll" -> say("{\"action\":\"polled\",\"echo\":" + command.get("echo") + ",\"meters\":[1,2,0.1,3]}");
+            default -> throw new AssertionError(command);
+        }
+    }
+
+    private void say(String notice) {
+        if (taken && channel.isOpen()) {
+            channel.writeInbound(Unpooled.copiedBuffer(notice + "\n", StandardCharsets.UTF_8));
+        }
+    }
+
+    private void end(String id, String code) {
+        if (running.remove(id)) {
+            String content = Base64.getEncoder().encodeToString(Stand.result(id));
+            notice("\"finished\",\"uid\":\"" + id + "\",\"code\":\"" + code + "\",\"wall_ms\":7,\"content\":\""
+                    + content + "\"");
+        }
+    }
+
+    private void notice(String rest) {
+        notices.add("{\"pos\":" + (notices.size() + 1) + ",\"action\":" + rest + "}");
+        say(notices.get(notices.size() - 1));
+    }
+
+    private void ask(boolean order) throws Arrival.Bad {
+        String id = Stand.id(++made);
+        Arrival.Fields fields = new Arrival.Fields();
+        mothwing.testing.Gateway.fields(id, stand.wallMs()).forEach(fields::set);
+        stand.broker.read(fields.at("/call/" + (order ? Stand.ORDER : Stand.LOOK), new byte[3]), new Caller() {
+            private void once(String answer) {
+                assertEquals(null, answers.put(id, answer), id + " is answered twice");
+            }
+
+            @Override
+            public void served(byte[] result) {
+                assertArrayEquals(Stand.result(id), result);
+                once("served");
+            }
+
+            @Override
+            public void refused(boolean last, long holdOffMs) {
+                assertFalse(order && runs.containsKey(id), id + " ran and is refused");
+                once("refused");
+            }
+
+            @Override
+            public void failed(String code) {
+                once(code);
+            }
+        });
+    }
+
+    @Property(seed = "1764576005")
+    void keepsToTheModel(@ForAll @Size(min = 20, max = 150) List<@IntRange(max = 99_999) Integer> steps)
+            throws Arrival.Bad {
+        turn();
+        for (int step : steps) {
+            switch (step % 10) {
+                case 0, 1, 2 -> ask(step % 4 == 0);
+                case 3, 4, 5 -> running.stream().skip(running.isEmpty() ? 0 : step / 10 % running.size()).findFirst()
+                        .ifPresent(id -> end(id, step % 3 == 0 ? "crashed" : "done"));
+                case 6 -> notice("\"chatter\",\"code\":\"all is well\"");
+                case 7 -> channel.close(); // what is on it and unread is lost
+                case 8 -> say("no notice".repeat(step % 2));
+                default -> stand.pass(step * 3L);
+            }
+            stand.pass(step % 9_000);
+            if (step % 3 > 0) {
+                turn(); // else the pool is slow to read
+            }
+        }
+        for (int i = 0; i < 400; i++) {
+            turn();
+            stand.pass(20_000);
+        }
+        assertEquals(made, answers.size(), "all is answered");
+        assertEquals(0, stand.broker.owed());
+        assertEquals(0, stand.counters.get("pool-notices-missed"));
+        assertEquals(0, stand.counters.get("overdue"));
+        runs.forEach((id, times) -> assertEquals(1, times, id + " ran twice"));
+    }
+
+    /** Guards against a start that is lost with its link: the run would be waited for until its due time. */
+    @Example
+    void startsAgainWhatMayBeRepeatedWhereItsStartWasLost() throws Arrival.Bad {
+        turn();
+        ask(false);
+        ask(true);
+        stand.pass(5_000);
+        channel.close(); // with both starts on it
+        stand.pass(100_000);
+        turn();
+        turn();
+        assertEquals(Set.of(Stand.id(1)), running, "what must run once is not started again");
+        end(Stand.id(1), "done");
+        assertEquals("served", answers.get(Stand.id(1)));
+    }
+
+    @Example
+    void aLineWithoutAnEndClosesTheLink() {
+        turn();
+        channel.writeInbound(Unpooled.wrappedBuffer(new byte[PoolLink.MOST_LINE + 1]));
+        assertFalse(channel.isOpen());
+        assertTrue(stand.lines.get(stand.lines.size() - 1).contains("reason=oversized"));
+    }
+}
--- /dev/null
+++ b/src/test/java/mothwing/server/ServerTest.java
@@ -0,0 +1,273 @@
+package mothwing.server;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
+import mothwing.testing.Answer;
+import mothwing.testing.Gateway;
+import mothwing.testing.Stand;
+import mothwing.testing.StandInPool;
+import mothwing.testing.Till;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The whole server on loopback, between stand-in gateways of both fronts and a stand-in pool. */
+class ServerTest {
+    private static final List<Supplier<Gateway>> FRONTS = List.of(Gateway.FastCgi::new, Gateway.Ajp::new);
+
+    private final List<String> lines = Collections.synchronizedList(new ArrayList<>());
+    private StandInPool pool;
+    private Server server;
+
+    private void start(StandInPool with, double patience, InetSocketAddress announce) throws IOException {
+        pool = with;
+        server = new Server(new Config("n1", any(), pool.address(), announce, 3200, 256,
+                Stand.settings(patience, 2)), any(), lines::add);
+        server.start();
+    }
+
+    private void startReady(long workMs, double patience) throws IOException {
+        start(new StandInPool(workMs), patience, nobody());
+        awaitPing(200);
+    }
+
+    private static InetSocketAddress any() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    /** An address at which nobody listens any more. */
+    private static InetSocketAddress nobody() throws IOException {
+        try (ServerSocket gone = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) gone.getLocalSocketAddress();
+        }
+    }
+
+    private Till till(Gateway gateway) throws IOException {
+        return new Till(gateway, server.listening().get(gateway instanceof Gateway.Ajp ? 1 : 0));
+    }
+
+    private int ping(Till till) throws IOException {
+        till.send(till.gateway.request(1, "/ping", "probe=1", Map.of(), new byte[0]));
+        return till.answer().status();
+    }
+
+    private void awaitPing(int status) throws IOException {
+        try (Till till = till(new Gateway.Ajp())) {
+            while (ping(till) != status) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    private void awaitLine(String start) {
+        while (List.copyOf(lines).stream().noneMatch(line -> line.startsWith(start))) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        server.close();
+        pool.close();
+        assertTrue(List.copyOf(lines).stream().noneMatch(line -> line.contains("fault")), () -> String.join("\n", lines));
+    }
+
+    @Test
+    void aRequestGoesThroughToThePoolAndItsResultBackUnchanged() throws Exception {
+        startReady(1, 4.5);
+        byte[] body = new byte[2048];
+        for (int i = 0; i < body.length; i++) {
+            body[i] = (byte) (i * 7);
+        }
+        for (Supplier<Gateway> front : FRONTS) {
+            try (Till till = till(front.get())) {
+                for (int i = 1; i <= 20; i++) {
+                    byte[] sent = Arrays.copyOf(body, i % 3 == 0 ? 0 : 2048 - i);
+                    till.ask(1, Stand.ORDER, Stand.id(i + till.gateway.hashCode()), sent);
+                    Answer answer = till.answer();
+                    assertEquals(200, answer.status());
+                    assertArrayEquals(StandInPool.made(sent), answer.content());
+                }
+            }
+        }
+        assertEquals(40, pool.spawns().size());
+    }
+
+    @Test
+    void whatThePoolDoesNotEndFailsByItsDueTimeAndIsStopped() throws Exception {
+        startReady(-1, 1);
+        for (Supplier<Gateway> front : FRONTS) {
+            try (Till till = till(front.get())) {
+                till.ask(1, Stand.ORDER, Stand.id(till.gateway.hashCode()), new byte[9]);
+                assertEquals(500, till.answer().status());
+            }
+        }
+        pool.awaitSuspends(2);
+    }
+
+    @Test
+    void aCallerThatLeavesEndsItsRun() throws Exception {
+        startReady(-1, 60);
+        int left = 0;
+        for (Supplier<Gateway> front : FRONTS) {
+            Till till = till(front.get());
+            till.ask(1, Stand.ORDER, Stand.id(7 + left), new byte[9]);
+            pool.awaitSpawns(++left);
+            till.close();
+            pool.awaitSuspends(left);
+        }
+    }
+
+    /** Guards against a run's end that is lost with the link, and against a second run of what must run once. */
+    @Test
+    void aBrokenLinkLosesNoEndAndRepeatsNoRun() throws Exception {
+        startReady(-1, 60);
+        try (Till one = till(new Gateway.FastCgi()); Till two = till(new Gateway.Ajp())) {
+            one.ask(1, Stand.ORDER, Stand.id(1), new byte[] {1, 2, 3});
+            two.ask(1, Stand.LOOK, Stand.id(2), new byte[] {4, 5});
+            pool.awaitSpawns(2);
+            pool.cut();
+            pool.release();
+            assertArrayEquals(new byte[] {3, 2, 1}, one.answer().content());
+            assertArrayEquals(new byte[] {5, 4}, two.answer().content());
+            assertEquals(1, pool.spawns().get(Stand.id(1)));
+            pool.awaitLink();
+            two.ask(1, Stand.LOOK, Stand.id(3), new byte[] {6});
+            pool.awaitSpawns(3);
+            pool.release();
+            assertEquals(200, two.answer().status());
+        }
+    }
+
+    @Test
+    void aPoolThatComesUpLateIsWaitedFor() throws Exception {
+        StandInPool late = new StandInPool(1);
+        late.up(false);
+        start(late, 4.5, nobody());
+        pool.awaitLink();
+        for (Supplier<Gateway> front : FRONTS) {
+            try (Till till = till(front.get())) {
+                assertEquals(503, ping(till));
+                till.ask(1, Stand.LOOK, Stand.id(1), new byte[0]);
+                assertEquals(503, till.answer().status());
+            }
+        }
+        pool.up(true);
+        awaitPing(200);
+    }
+
+    @Test
+    void theNoticeToLeaveAnswersWhatWasReadAndRunsNothingNew() throws Exception {
+        startReady(-1, 60);
+        try (Till one = till(new Gateway.FastCgi()); Till two = till(new Gateway.Ajp())) {
+            one.ask(1, Stand.ORDER, Stand.id(1), new byte[] {1, 2});
+            two.ask(1, Stand.ORDER, Stand.id(2), new byte[] {3});
+            pool.awaitSpawns(2);
+            server.drain();
+            awaitLine("drain ");
+            one.ask(2, Stand.ORDER, Stand.id(3), new byte[0]);
+            Answer refusal = one.answer();
+            assertEquals(503, refusal.status());
+            assertTrue(Long.parseLong(refusal.fields().get("Hold-Off-Ms")) > 0);
+            pool.release();
+            assertArrayEquals(new byte[] {2, 1}, one.answer().content());
+            assertArrayEquals(new byte[] {3}, two.answer().content());
+            assertTrue(one.closedByServer() && two.closedByServer());
+        }
+        server.await();
+        assertEquals(2, pool.spawns().size());
+        assertTrue(server.counts().contains(" owed=0 "), server.counts());
+        assertTrue(server.counts().contains(" served=2"), server.counts());
+    }
+
+    @Test
+    void reportsToTheAnnounceServiceAgainAfterItsConnectionBroke() throws Exception {
+        CountDownLatch reports = new CountDownLatch(2);
+        try (ServerSocket service = new ServerSocket(0, 4, InetAddress.getLoopbackAddress())) {
+            Thread answers = new Thread(() -> {
+                while (!service.isClosed()) {
+                    try (Socket call = service.accept()) {
+                        byte[] came = new byte[4096];
+                        String text = "";
+                        while (!text.endsWith("}")) {
+                            text += new String(came, 0, call.getInputStream().read(came));
+                        }
+                        if (text.startsWith("PUT /announce/n1 HTTP/1.1\r\n") && text.endsWith("{\"accepting\":\"true\"}")) {
+                            call.getOutputStream().write("HTTP/1.1 204 No Content\r\n\r\n".getBytes());
+                            reports.countDown();
+                        }
+                    } catch (IOException | IndexOutOfBoundsException broken) {
+                        // the next call follows
+                    }
+                }
+            });
+            answers.setDaemon(true);
+            answers.start();
+            start(new StandInPool(1), 4.5, (InetSocketAddress) service.getLocalSocketAddress());
+            reports.await();
+        }
+    }
+
+    /** Half of a rush comes over each front: what is worth the same gets the same, and neither front starves. */
+    @Test
+    void anEidRushGetsEqualServiceForEqualWorthOverBothFronts() throws Exception {
+        startReady(25, 1.5);
+        int wide = 40;
+        List<Till> ajp = new ArrayList<>();
+        List<Till> fast = List.of(till(new Gateway.FastCgi()), till(new Gateway.FastCgi()));
+        for (int i = 0; i < wide; i++) {
+            ajp.add(till(new Gateway.Ajp()));
+        }
+        int[][] served = new int[2][2];
+        int answers = 0;
+        int refused = 0;
+        for (int wave = 0; wave < 6; wave++) {
+            for (int i = 0; i < wide; i++) {
+                String kind = i % 5 == 0 ? Stand.ORDER : Stand.LOOK;
+                int number = 1000 * (wave + 1) + 2 * i;
+                Till first = fast.get(i % 2);
+                for (int turn = 0; turn < 2; turn++) { // the fronts take turns at coming first
+                    if ((turn + i) % 2 == 0) {
+                        first.ask(1 + i, kind, Stand.id(number), new byte[] {(byte) i});
+                    } else {
+                        ajp.get(i).ask(1, kind, Stand.id(number + 1), new byte[] {(byte) i});
+                    }
+                }
+            }
+            for (int i = 0; i < wide; i++) {
+                Answer one = fast.get(i % 2).answer();
+                Answer two = ajp.get(i).answer();
+                answers += 2;
+                refused += (one.status() == 503 ? 1 : 0) + (two.status() == 503 ? 1 : 0);
+                served[0][(one.id() - 1) % 5 == 0 ? 1 : 0] += one.status() == 200 ? 1 : 0;
+                served[1][i % 5 == 0 ? 1 : 0] += two.status() == 200 ? 1 : 0;
+            }
+        }
+        assertEquals(6 * 2 * wide, answers);
+        String all = Arrays.deepToString(served) + " refused " + refused;
+        assertTrue(refused > 0, "it is a rush: " + all);
+        for (int worth = 0; worth < 2; worth++) {
+            int most = Math.max(served[0][worth], served[1][worth]);
+            int least = Math.min(served[0][worth], served[1][worth]);
+            assertTrue(least > 0 && 2 * least >= most, all);
+        }
+        assertTrue(served[0][1] + served[1][1] > 0.5 * 6 * 2 * wide / 5, "orders are worth more: " + all);
+        pool.spawns().forEach((id, times) -> assertEquals(1, times, id));
+        for (Till till : ajp) {
+            till.close();
+        }
+    }
+}
--- a/src/test/java/mothwing/testing/Stand.java
+++ b/src/test/java/mothwing/testing/Stand.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.function.Function;
 import mothwing.Brain;
 import mothwing.OverloadControl.Dependency;
 import mothwing.OverloadControl.FreeValue;
@@ -59,11 +60,16 @@
     private long now;
     private long order;
 
-    /** Makes a broker that the pool has not bound yet. */
+    /** Makes a broker that the pool, which is this stand, has not bound yet. */
     public Stand() {
         broker = new Broker(settings(4.5, 2), Brain::new, this, this, counters, lines::add);
     }
 
+    /** Makes a broker with another way to the pool. */
+    public Stand(Function<Stand, Workers> pool) {
+        broker = new Broker(settings(4.5, 2), Brain::new, pool.apply(this), this, counters, lines::add);
+    }
+
     /** Settings like the site's, with patience in seconds and a number of cores. */
     public static Settings settings(double patience, int cores) {
         long deadline = (long) (patience * SECOND);
