--- a/src/main/java/mothwing/ajp/AjpConnection.java
+++ b/src/main/java/mothwing/ajp/AjpConnection.java
@@ -130,6 +130,11 @@
         return open == null;
     }
 
+    @Override
+    protected boolean halfRead() {
+        return open != null && open.reading;
+    }
+
     @Override
     protected boolean take(ByteBuf in) throws Malformed {
         if (in.readableBytes() < Ajp.HEAD) {
--- a/src/main/java/mothwing/cli/Serve.java
+++ b/src/main/java/mothwing/cli/Serve.java
@@ -5,8 +5,8 @@
 import java.io.Reader;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import mothwing.broker.Log;
 import mothwing.server.Config;
+import mothwing.server.LineLog;
 import mothwing.server.Server;
 
 /** Runs one shop server in the foreground until it has drained. */
@@ -15,25 +15,38 @@
     }
 
     static int run(String path, String ajp, PrintStream out) throws IOException, InterruptedException {
-        Config config;
-        try (Reader text = Files.newBufferedReader(Path.of(path))) {
-            config = Config.read(text);
-        }
-        Log log = line -> out.println(System.currentTimeMillis() + " " + line);
+        Config config = read(path);
+        LineLog log = new LineLog(out);
         Server server = new Server(config, ajp == null ? null : Config.readListen(Path.of(ajp)), log);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, log, out), "leave"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, log), "leave"));
         server.start();
         server.await();
         return 0;
     }
 
+    static int check(String path, PrintStream out) throws IOException {
+        Config config = read(path);
+        out.println("good: " + config.name() + " listens on " + config.listen() + ", "
+                + config.settings().classes().size() + " classes, " + config.settings().tenants().size() + " tenants");
+        return 0;
+    }
+
+    private static Config read(String path) throws IOException {
+        if (path.isEmpty()) {
+            throw new IOException("no configuration: give --config or EDGE_CONFIG");
+        }
+        try (Reader text = Files.newBufferedReader(Path.of(path))) {
+            return Config.read(text);
+        }
+    }
+
     /** The notice to leave is a signal to end: the runtime waits for this, and then ends with status 0. */
-    private static void leave(Server server, Log log, PrintStream out) {
+    private static void leave(Server server, LineLog log) {
         try {
             server.drain();
             server.await();
             log.line(server.counts());
-            out.flush();
+            log.close();
         } catch (InterruptedException broken) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/mothwing/fastcgi/FastCgiConnection.java
+++ b/src/main/java/mothwing/fastcgi/FastCgiConnection.java
@@ -123,6 +123,11 @@
         return open.isEmpty();
     }
 
+    @Override
+    protected boolean halfRead() {
+        return open.values().stream().anyMatch(one -> !one.read);
+    }
+
     @Override
     protected boolean take(ByteBuf in) throws Malformed {
         if (in.readableBytes() < FastCgi.HEADER) {
--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import mothwing.broker.Counters;
 import mothwing.broker.Log;
+import mothwing.broker.Timers;
 
 /**
  * One connection, of a front or of the client side: gathers bytes until a decoder can take a whole piece, keeps
@@ -26,6 +27,8 @@
     private long bytesIn;
     private long bytesOut;
     private long pieces;
+    private Timers clock;
+    private long halfReadSince = Long.MAX_VALUE;
 
     /**
      * Makes the state of a connection.
@@ -67,6 +70,26 @@
         return true;
     }
 
+    /**
+     * Whether a request on it was begun and is not read whole yet.
+     *
+     * @return true if so
+     */
+    protected boolean halfRead() {
+        return false;
+    }
+
+    /** Tells the time to a connection that is watched for requests that stay half read. */
+    final void clock(Timers time) {
+        clock = time;
+        halfReadSince = Long.MAX_VALUE;
+    }
+
+    /** Since when it has had half a request without a further byte; in the far future where it has none. */
+    final long halfReadSince() {
+        return halfReadSince;
+    }
+
     /**
      * Counts under this connection's side.
      *
@@ -158,6 +181,9 @@
         if (gathered != null && (!gathered.isReadable() || closed())) {
             drop();
         }
+        if (clock != null) {
+            halfReadSince = gathered != null || halfRead() ? clock.now() : Long.MAX_VALUE;
+        }
     }
 
     private static ByteBuf joined(ChannelHandlerContext ctx, ByteBuf before, ByteBuf came) {
--- a/src/main/java/mothwing/net/Headers.java
+++ b/src/main/java/mothwing/net/Headers.java
@@ -1,5 +1,6 @@
 package mothwing.net;
 
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -33,7 +34,7 @@
      * @return name with value
      */
     public static String[] feedback(double value) {
-        return new String[] {"Feedback", java.math.BigDecimal.valueOf(value).toPlainString()};
+        return new String[] {"Feedback", BigDecimal.valueOf(value).toPlainString()};
     }
 
     /**
--- a/src/main/java/mothwing/net/Listener.java
+++ b/src/main/java/mothwing/net/Listener.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -24,8 +25,12 @@
  */
 public final class Listener {
     private static final int BACKLOG = 512;
-    private static final int LOW_WATER = 64 << 10;
-    private static final int HIGH_WATER = 256 << 10;
+    private static final int LOW_WATER = 32 << 10;
+    private static final int HIGH_WATER = 64 << 10;
+    private static final int LEAST_READ = 512;
+    private static final int FIRST_READ = 2048;
+    private static final int MOST_READ = 8192;
+    private static final long HALF_READ = 10_000_000; // far beyond every due time of a class
 
     private final Supplier<? extends Connection> maker;
     private final int most;
@@ -65,6 +70,8 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ))
                 .childOption(ChannelOption.ALLOCATOR, allocator)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_WATER, HIGH_WATER))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -84,11 +91,17 @@
             return;
         }
         Connection connection = maker.get();
-        idleSince.put(connection, timers.now());
+        watch(connection);
         accepted.closeFuture().addListener(closed -> idleSince.remove(connection));
         accepted.pipeline().addLast(connection);
     }
 
+    /** Watches a new connection for being idle, and for half a request. */
+    void watch(Connection connection) {
+        connection.clock(timers);
+        idleSince.put(connection, timers.now());
+    }
+
     /**
      * Where it listens.
      *
@@ -108,7 +121,8 @@
     }
 
     /**
-     * Closes what was idle for longer than a span.
+     * Closes what was idle for longer than a span, and what has kept half a request for long: it would hold its
+     * place for ever.
      *
      * @param span microseconds; 0 closes all that has nothing open
      * @param why the reason
@@ -116,7 +130,9 @@
     public void trim(long span, Reason why) {
         long now = timers.now();
         for (Map.Entry<Connection, Long> one : new ArrayList<>(idleSince.entrySet())) {
-            if (!one.getKey().idle()) {
+            if (one.getKey().halfReadSince() < now - HALF_READ) {
+                one.getKey().close(Reason.NO_ANSWER, "half a request");
+            } else if (!one.getKey().idle()) {
                 one.setValue(now);
             } else if (now - one.getValue() >= span) {
                 one.getKey().close(why, "");
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -10,7 +10,9 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import mothwing.Brain;
 import mothwing.ajp.AjpConnection;
@@ -143,8 +145,7 @@
         loop.execute(() -> line.complete("counts " + broker.counts()));
         try {
             return line.get(1, TimeUnit.SECONDS);
-        } catch (InterruptedException | java.util.concurrent.ExecutionException
-                | java.util.concurrent.TimeoutException late) {
+        } catch (InterruptedException | ExecutionException | TimeoutException late) {
             return "counts unknown";
         }
     }
--- a/src/test/java/mothwing/ProjectTest.java
+++ b/src/test/java/mothwing/ProjectTest.java
@@ -41,14 +41,17 @@
     @Test
     void deployFileNamesExistingFiles() throws IOException {
         String deploy = Files.readString(Path.of("deploy/balancer.toml"));
-        Matcher policy = Pattern.compile("(?m)^policy = \\[(.*)\\]").matcher(deploy);
-        assertTrue(policy.find());
-        List<String> names = Pattern.compile("\"([^\"]+)\"").matcher(policy.group(1)).results()
-                .map(match -> match.group(1)).toList();
-        assertFalse(names.isEmpty());
-        for (String name : names) {
-            assertTrue(Files.isRegularFile(Path.of(name)), name);
+        for (String key : List.of("policy", "node")) {
+            Matcher line = Pattern.compile("(?m)^" + key + " = \\[(.*?)\\]").matcher(deploy);
+            assertTrue(line.find());
+            List<String> names = Pattern.compile("\"([^\"]+)\"").matcher(line.group(1)).results()
+                    .map(match -> match.group(1)).toList();
+            assertFalse(names.isEmpty());
+            for (String name : names) {
+                assertTrue(Files.exists(Path.of(name)), name);
+            }
         }
+        assertTrue(deploy.contains("target/mothwing.jar serve"));
         assertTrue(deploy.contains("target/mothwing.jar adapter"));
         assertTrue(Files.readString(Path.of("pom.xml")).contains("<finalName>mothwing</finalName>"));
     }
--- /dev/null
+++ b/src/test/java/mothwing/broker/BrokerTest.java
@@ -0,0 +1,256 @@
+package mothwing.broker;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import mothwing.OverloadControl.Controller;
+import mothwing.OverloadControl.Outcome;
+import mothwing.OverloadControl.Repeats;
+import mothwing.OverloadControl.Request;
+import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Settings;
+import mothwing.testing.Gateway;
+import mothwing.testing.Stand;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The guards of the core, with decisions that go wrong on purpose. */
+class BrokerTest {
+    private static final long SECOND = 1_000_000;
+
+    /** Decisions by hand: it notes what it is told and does nothing, or throws. */
+    private static final class ByHand implements Controller {
+        private final List<String> told = new ArrayList<>();
+        private boolean broken;
+
+        private void note(String what) {
+            told.add(what);
+            if (broken) {
+                throw new IllegalStateException("on purpose");
+            }
+        }
+
+        @Override
+        public void started(long now) {
+            note("started");
+        }
+
+        @Override
+        public void read(long now, Request request) {
+            note("read");
+        }
+
+        @Override
+        public void gone(long now, String id) {
+            note("gone");
+        }
+
+        @Override
+        public void atCall(long now, String id) {
+            note("call");
+        }
+
+        @Override
+        public void callEnded(long now, String id, Outcome outcome, long took) {
+            note("call ended");
+        }
+
+        @Override
+        public void finished(long now, String id, Outcome outcome, long took) {
+            note("finished " + outcome);
+        }
+
+        @Override
+        public void timer(long now, String tag, double[] gauges) {
+            note("timer " + tag + " " + gauges[1]);
+        }
+
+        @Override
+        public void drain(long now, long stopAt) {
+            note("drain");
+        }
+
+        @Override
+        public void settled(long now) {
+            note("settled");
+        }
+    }
+
+    private final ByHand decisions = new ByHand();
+    private final List<String> answers = new ArrayList<>();
+    private Stand stand;
+
+    @BeforeEach
+    void bound() {
+        stand = new Stand(decisions).bound();
+        decisions.told.clear();
+    }
+
+    private Exchange ask(int number, String kind) throws Arrival.Bad {
+        Arrival.Fields fields = new Arrival.Fields();
+        Gateway.fields(Stand.id(number), stand.wallMs()).forEach(fields::set);
+        Exchange exchange = stand.broker.read(fields.at("/call/" + kind, new byte[0]), new Caller() {
+            @Override
+            public void served(byte[] result) {
+                answers.add("served");
+            }
+
+            @Override
+            public void refused(boolean last, long holdOffMs) {
+                answers.add("refused " + last + " " + holdOffMs);
+            }
+
+            @Override
+            public void failed(String code) {
+                answers.add("failed " + code);
+            }
+        });
+        return exchange;
+    }
+
+    @Test
+    void gathersTheEventsOfARoundIntoOneBatch() throws Arrival.Bad {
+        ask(1, Stand.LOOK);
+        stand.pass(1);
+        stand.broker.gone(ask(2, Stand.LOOK));
+        stand.pass(10_000);
+        assertEquals(List.of("read", "settled", "read", "gone", "settled"), decisions.told);
+    }
+
+    /** Guards against decisions that leave a request beyond its due time. */
+    @Test
+    void failsWhatTheControllerLeavesOverdue() throws Arrival.Bad {
+        ask(1, Stand.LOOK);
+        stand.pass(4 * SECOND);
+        assertEquals(List.of(), answers);
+        stand.pass(SECOND);
+        assertEquals(List.of("failed overdue"), answers);
+        assertEquals(0, stand.broker.owed());
+    }
+
+    /** Guards against a fault of the decisions that ends the process, or costs an answer. */
+    @Test
+    void outlivesAControllerThatThrows() throws Arrival.Bad {
+        decisions.broken = true;
+        ask(1, Stand.LOOK);
+        stand.pass(5 * SECOND);
+        assertEquals(List.of("failed overdue"), answers);
+        assertTrue(stand.counters.get("controller-faults") > 0);
+        assertTrue(stand.lines.stream().anyMatch(line -> line.startsWith("controller-fault")));
+    }
+
+    /** Guards against an order that ran and is then refused, which promises that it did not. */
+    @Test
+    void neverRefusesWhatRanAndMustRunOnce() throws Arrival.Bad {
+        ask(1, Stand.ORDER);
+        ask(2, Stand.ORDER);
+        stand.broker.start(Stand.id(1));
+        stand.broker.refuse(Stand.id(1), false, 5_500);
+        stand.broker.refuse(Stand.id(2), true, 5_500);
+        assertEquals(List.of("failed ran-before", "refused true 6"), answers);
+    }
+
+    @Test
+    void startsOnceAndAnswersOnce() throws Arrival.Bad {
+        ask(1, Stand.ORDER);
+        stand.broker.start(Stand.id(1));
+        stand.broker.start(Stand.id(1));
+        stand.finish(Stand.id(1), Outcome.GOOD);
+        stand.broker.fail(Stand.id(1));
+        stand.broker.finished(Stand.id(1), Outcome.GOOD, 5, new byte[1]);
+        assertEquals(List.of("served"), answers);
+        assertEquals(1, stand.spawns.get(Stand.id(1)));
+        assertEquals(1, stand.counters.get("finished-unasked"));
+    }
+
+    @Test
+    void pausesAndGoesOn() throws Arrival.Bad {
+        ask(1, Stand.ORDER);
+        stand.broker.start(Stand.id(1));
+        stand.broker.halt(Stand.id(1));
+        stand.pass(5_000);
+        stand.broker.start(Stand.id(1));
+        stand.finish(Stand.id(1), Outcome.GOOD);
+        assertEquals(List.of("served"), answers);
+        assertEquals(1, stand.spawns.get(Stand.id(1)));
+    }
+
+    /** Guards against a request that the pool knows to be over and nobody answers. */
+    @Test
+    void failsWhatThePoolDidNotBegin() throws Arrival.Bad {
+        ask(1, Stand.LOOK);
+        stand.broker.start(Stand.id(1));
+        stand.finish(Stand.id(1), Outcome.MOOT);
+        assertEquals(List.of("failed stale"), answers);
+    }
+
+    @Test
+    void runsNothingThatCameAfterTheGraceOfADrain() throws Arrival.Bad {
+        stand.broker.drain(9 * SECOND);
+        stand.pass(2 * SECOND + 5_000);
+        ask(1, Stand.LOOK);
+        stand.broker.start(Stand.id(1));
+        assertEquals(List.of("refused false 1000"), answers);
+        assertTrue(stand.spawns.isEmpty());
+    }
+
+    /** Guards against a clock of the controller that stops with the link: timers fire with the last gauges. */
+    @Test
+    void timersFireWithGaugesAndAlsoWithoutALink() throws Arrival.Bad {
+        ask(1, Stand.LOOK);
+        stand.broker.start(Stand.id(1));
+        stand.broker.timer(stand.now() + 1_000, "tick");
+        stand.pass(10_000);
+        stand.finish(Stand.id(1), Outcome.GOOD);
+        stand.linked = false;
+        stand.broker.timer(stand.now() + 1_000, "late");
+        stand.pass(10_000);
+        assertTrue(decisions.told.contains("timer tick 1.0"), decisions.told::toString);
+        assertTrue(decisions.told.contains("timer late 1.0"), decisions.told::toString);
+    }
+
+    @Test
+    void aDeepCheckAsksThePoolUnlessChecksAreCheap() {
+        List<Boolean> good = new ArrayList<>();
+        stand.broker.health(false, true);
+        stand.broker.check(true, good::add);
+        assertEquals(List.of(), good);
+        stand.pass(5_000);
+        assertEquals(List.of(true), good);
+        stand.linked = false;
+        stand.broker.check(true, good::add);
+        stand.broker.health(true, false);
+        stand.broker.check(true, good::add);
+        assertEquals(List.of(true, false, false), good);
+    }
+
+    @Test
+    void aTraceIdThatIsOpenIsNotTakenTwice() throws Arrival.Bad {
+        ask(1, Stand.ORDER);
+        ask(1, Stand.ORDER);
+        assertEquals(List.of("failed repeated-trace-id"), answers);
+    }
+
+    @Test
+    void keepsToABoundOnOpenRequests() throws Arrival.Bad {
+        for (int i = 0; i < Broker.MOST_OPEN; i++) {
+            ask(i, Stand.LOOK);
+        }
+        assertEquals(List.of(), answers);
+        ask(Broker.MOST_OPEN, Stand.LOOK);
+        assertEquals(List.of("refused false 1000"), answers);
+    }
+
+    @Test
+    void saysAtTheStartWhatItCannotDo() {
+        Settings one = Stand.settings(4.5, 2);
+        RequestClass guarded = new RequestClass("save", 1, 2, 1, 0, Repeats.GUARDED, 5, false, 0);
+        Settings settings = new Settings(1, 2000, List.of(guarded), one.tenants(), 1, 1, false, 1, 0, one.goal(),
+                one.rules(), one.dependency(), one.machine(), one.signals());
+        assertThrows(IllegalArgumentException.class, () -> new Broker(settings, (told, host) -> decisions, stand,
+                stand, stand.counters, stand.lines::add));
+    }
+}
--- /dev/null
+++ b/src/test/java/mothwing/cli/CommandsTest.java
@@ -0,0 +1,93 @@
+package mothwing.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import mothwing.server.Config;
+import mothwing.server.Server;
+import mothwing.testing.Stand;
+import mothwing.testing.StandInPool;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The command line, and the configuration it reads. */
+class CommandsTest {
+    private static final String CONFIG = "{'name':'n3','listen':'127.0.0.1:9090','pool':'127.0.0.1:4400',"
+            + "'announce':'127.0.0.1:7946','seed':'8c1f30d27a5be964','stop_ms':3200,'limits':{'sockets':1024},"
+            + "'settings':{'Round':2000,'Classes':[{'Name':'stock-check','Target':1800000,'GiveUp':4500000,"
+            + "'Worth':1.0}],'Extra':{'Cores':6,'Gauges':['cpu_busy'],'Halt':'suspend','Idle':30000000}}}";
+
+    @TempDir
+    private Path folder;
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    private int run(String... arguments) throws Exception {
+        out.reset();
+        err.reset();
+        return Commands.run(arguments, new ByteArrayInputStream("{\"SimTime\":5,\"in\":[]}\n".getBytes()),
+                new PrintStream(out, true), new PrintStream(err, true));
+    }
+
+    private String config(String text) throws IOException {
+        return Files.writeString(folder.resolve("config.json"), text.replace('\'', '"')).toString();
+    }
+
+    @Test
+    void knowsItsCommands() throws Exception {
+        assertEquals(0, run("adapter"));
+        assertEquals("{\"out\":[]}\n", out.toString());
+        assertEquals(0, run("version"));
+        assertTrue(out.toString().startsWith("mothwing "));
+        assertEquals(0, run("help"));
+        assertTrue(out.toString().contains("serve [-c FILE]"));
+        for (String[] wrong : List.of(new String[0], new String[] {"drill"}, new String[] {"version", "--loud"},
+                new String[] {"adapter", "more"})) {
+            assertEquals(2, run(wrong));
+            assertTrue(err.size() > 0 && out.size() == 0);
+        }
+    }
+
+    @Test
+    void checksAConfigurationAndNamesWhatIsWrong() throws Exception {
+        assertEquals(0, run("check", "--config", config(CONFIG)), err::toString);
+        assertEquals("good: n3 listens on /127.0.0.1:9090, 1 classes, 0 tenants\n", out.toString());
+        String[][] wrongs = {{"'pool':'127.0.0.1:4400',", "", "pool"}, {"127.0.0.1:4400", "pool.svc:4400", "pool"},
+            {"127.0.0.1:4400", "127.0.0.1:99999", "pool"}, {"8c1f30d27a5be964", "zz", "seed"},
+            {"'stop_ms':3200", "'stop_ms':'3200'", "stop_ms"}, {"'Name':'stock-check',", "", "Name"}};
+        for (String[] wrong : wrongs) {
+            assertEquals(2, run("check", "--config", config(CONFIG.replace(wrong[0], wrong[1]))));
+            assertTrue(err.toString().contains(wrong[2]), err::toString);
+            assertEquals(1, err.toString().lines().count());
+        }
+        for (String text : List.of("", "[]", "{", "{'name':")) {
+            assertEquals(2, run("check", "--config", config(text)));
+            assertEquals(1, err.toString().lines().count(), err::toString);
+        }
+        assertEquals(2, run("serve", "--config", folder.resolve("none").toString()));
+    }
+
+    @Test
+    void asksARunningServerForItsCounters() throws Exception {
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try (StandInPool pool = new StandInPool(1)) {
+            Server server = new Server(new Config("n1", any, pool.address(), pool.address(), 3200, 256,
+                    Stand.settings(4.5, 2)), null, line -> { });
+            server.start();
+            int port = server.listening().get(0).getPort();
+            assertEquals(0, run("counts", "--server", "127.0.0.1:" + port), err::toString);
+            assertTrue(out.toString().startsWith("in_hand=0 owed=0 "), out::toString);
+            assertTrue(out.toString().contains("fastcgi-opened=1"), out::toString);
+            server.close();
+        }
+    }
+}
--- a/src/test/java/mothwing/testing/Stand.java
+++ b/src/test/java/mothwing/testing/Stand.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.function.Function;
 import mothwing.Brain;
+import mothwing.OverloadControl.Controller;
 import mothwing.OverloadControl.Dependency;
 import mothwing.OverloadControl.FreeValue;
 import mothwing.OverloadControl.Goal;
@@ -65,6 +66,11 @@
         broker = new Broker(settings(4.5, 2), Brain::new, this, this, counters, lines::add);
     }
 
+    /** Makes a broker with other decisions. */
+    public Stand(Controller decisions) {
+        broker = new Broker(settings(4.5, 2), (settings, host) -> decisions, this, this, counters, lines::add);
+    }
+
     /** Makes a broker with another way to the pool. */
     public Stand(Function<Stand, Workers> pool) {
         broker = new Broker(settings(4.5, 2), Brain::new, pool.apply(this), this, counters, lines::add);
