Free the place of a run whose start or end was lost with a link; test the whole process

Seen by reading, then by BrokerTest: an order whose start was lost with a broken link is failed at its due time, and the stop that goes with it gets no answer from a pool that never had it. The controller then counted it as running for ever. It is given up 10 s past its due time (lost-run). A start that was never put on a link is now made once the link is back, for single-shot classes too: it cannot have run. Both tests fail without the change. The models of the two fronts share their steps, and only fields that decisions need are taken out of a request.

--- a/src/main/java/mothwing/broker/Arrival.java
+++ b/src/main/java/mothwing/broker/Arrival.java
@@ -8,17 +8,15 @@
  *
  * @param id its name, new with every try
  * @param acceptedAtMs when it came to the machine, in Unix milliseconds
- * @param caller the number of the gateway, or -1 where it was not told
  * @param tenant the tenant's name, or an empty word
  * @param kind the name of its class
- * @param again whether it is marked as a further try
  * @param reserveKb memory booked for it while it is held
  * @param rank its rank, from 0 to under 1
  * @param subject what a read is about, or null
  * @param body the body as it came
  */
-public record Arrival(String id, long acceptedAtMs, int caller, String tenant, String kind, boolean again,
-        double reserveKb, double rank, String subject, byte[] body) {
+public record Arrival(String id, long acceptedAtMs, String tenant, String kind, double reserveKb,
+        double rank, String subject, byte[] body) {
     /** Most bytes of a body. */
     public static final int MOST_BODY = 2048;
 
@@ -38,9 +36,7 @@
     public static final class Fields {
         private String id = "";
         private String accepted = "";
-        private String caller = "";
         private String tenant = "";
-        private String again = "";
         private String reserve = "";
         private String rank = "";
         private String subject;
@@ -55,9 +51,7 @@
             switch (name.toLowerCase(Locale.ROOT)) {
                 case "trace-id" -> id = value;
                 case "accepted-at-ms" -> accepted = value;
-                case "client-no" -> caller = value;
                 case "project" -> tenant = value;
-                case "is-retry" -> again = value;
                 case "reserve-kb" -> reserve = value;
                 case "standing" -> rank = value;
                 case "lookup-key" -> subject = value;
@@ -92,9 +86,8 @@
             if (!(at >= 0 && at < Long.MAX_VALUE / 2e3)) {
                 throw new Bad("bad-accepted-at-ms");
             }
-            int number = caller.isEmpty() ? -1 : (int) number(caller, "bad-client-no");
-            return new Arrival(id, (long) at, number, tenant, path.substring("/call/".length()),
-                    again.equals("1"), kb, standing, subject, body);
+            return new Arrival(id, (long) at, tenant, path.substring("/call/".length()), kb,
+                    standing, subject, body);
         }
 
         private static double number(String text, String code) throws Bad {
--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -35,6 +35,7 @@
     private static final long GAUGES_WAIT = 500 * MILLI; // over a stall of the machine, which holds timers off
     private static final long CHECK_WAIT = 2000 * MILLI;
     private static final long WATCH = 20 * MILLI; // between looks at due times
+    private static final long LOST = 10_000 * MILLI; // past its due time a stopped run has ended, or never began
 
     /** One event for the controller. */
     private interface Event {
@@ -262,14 +263,15 @@
 
     /**
      * The missed notices have been read. Runs whose start may have been lost with a link are started again,
-     * unless that could run twice what must run once: such a request waits for its end, or its due time.
+     * unless that could run twice what must run once: such a request waits for its end, or its due time. What
+     * was never put on a link cannot have run.
      */
     public void caughtUp() {
         for (Exchange one : open.values()) {
             if (one.inPool() && one.state() == Exchange.State.RUNNING && one.pollsBefore() >= answeredPolls
-                    && one.repeatable()) {
+                    && (one.repeatable() || !one.handedOver())) {
                 counters.add("spawned-again");
-                workers.spawn(one);
+                one.started(polls, workers.spawn(one));
             } else if (one.inPool() && one.stopping()) {
                 workers.suspend(one.arrival().id());
             }
@@ -392,7 +394,11 @@
         timers.at(now + WATCH, this::watch);
         boolean due = false;
         List<Exchange> overdue = new ArrayList<>();
+        List<Exchange> lost = new ArrayList<>();
         for (Exchange one : open.values()) {
+            if (!one.owed() && workers.ready() && now >= one.dueAt() + LOST) {
+                lost.add(one);
+            }
             due |= one.owed() && now >= one.dueAt() - WATCH;
             if (one.owed() && now >= one.dueAt() + told.rules().answerSlack() / 2) {
                 overdue.add(one);
@@ -404,6 +410,12 @@
             fail(one, "overdue");
             forgetUnlessRunning(one);
         }
+        for (Exchange one : lost) {
+            // Its start or its end was lost with a link: else it would take a place on the cores for ever.
+            counters.add("lost-runs");
+            log.line("lost-run id=" + one);
+            finished(one.arrival().id(), Outcome.MOOT, 0, null);
+        }
         if (due) {
             event((to, at) -> { });
         }
@@ -458,9 +470,8 @@
             refuse(one, "drained", false, told.signals().longestAdvice() / MILLI);
             open.remove(id);
         } else {
-            one.started(polls);
             counters.add("spawned");
-            workers.spawn(one);
+            one.started(polls, workers.spawn(one));
         }
     }
 
--- a/src/main/java/mothwing/broker/Exchange.java
+++ b/src/main/java/mothwing/broker/Exchange.java
@@ -31,6 +31,7 @@
     private State state = State.READ;
     private boolean ran;
     private boolean inPool;
+    private boolean handedOver;
     private boolean stopping;
     private long pollsBefore;
 
@@ -94,6 +95,11 @@
         return dueAt;
     }
 
+    /** Whether its start was ever put on a link: if not, the pool cannot have run it. */
+    boolean handedOver() {
+        return handedOver;
+    }
+
     boolean stopping() {
         return stopping;
     }
@@ -108,11 +114,12 @@
         }
     }
 
-    /** Marks it as handed to the pool, after so many polls. */
-    void started(long polls) {
+    /** Marks it as running, and as handed to the pool, after so many polls, where there was a link. */
+    void started(long polls, boolean onLink) {
         state = State.RUNNING;
         ran = true;
         inPool = true;
+        handedOver |= onLink;
         pollsBefore = polls;
     }
 
--- a/src/main/java/mothwing/broker/Workers.java
+++ b/src/main/java/mothwing/broker/Workers.java
@@ -5,8 +5,8 @@
     /** Whether commands reach the pool now. */
     boolean ready();
 
-    /** Runs a request. */
-    void spawn(Exchange exchange);
+    /** Runs a request. Says whether the command was put on a link; that link may still break. */
+    boolean spawn(Exchange exchange);
 
     /** Stops a run. */
     void suspend(String id);
--- a/src/main/java/mothwing/pool/Pool.java
+++ b/src/main/java/mothwing/pool/Pool.java
@@ -114,10 +114,8 @@
     }
 
     @Override
-    public void spawn(Exchange exchange) {
-        if (ready()) {
-            link.spawn(exchange);
-        }
+    public boolean spawn(Exchange exchange) {
+        return ready() && link.spawn(exchange);
     }
 
     @Override
--- a/src/main/java/mothwing/pool/PoolLink.java
+++ b/src/main/java/mothwing/pool/PoolLink.java
@@ -134,10 +134,11 @@
     }
 
     @Override
-    public void spawn(Exchange exchange) {
+    public boolean spawn(Exchange exchange) {
         command("{\"action\":\"spawn\",\"uid\":\"" + exchange.arrival().id() + "\",\"lane\":"
                 + GSON.toJson(exchange.arrival().kind()) + ",\"content\":\""
                 + Base64.getEncoder().encodeToString(exchange.arrival().body()) + "\"}");
+        return true;
     }
 
     private void named(String action, String word, String value) {
--- a/src/test/java/mothwing/ajp/AjpConnectionTest.java
+++ b/src/test/java/mothwing/ajp/AjpConnectionTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -26,22 +25,13 @@
 
     private FrontModel model;
     private Gateway.Ajp gateway;
-    private EmbeddedChannel channel;
 
     @BeforeTry
     void anew() {
-        model = new FrontModel();
-        gateway = new Gateway.Ajp();
-        channel = open();
-    }
-
-    private EmbeddedChannel open() {
-        return model.stand.open(new AjpConnection(model.stand.broker, model.stand.lines::add,
-                model.stand.counters));
-    }
-
-    private void send(byte[] bytes) {
-        model.stand.send(channel, gateway, bytes);
+        model = new FrontModel(stand -> new AjpConnection(stand.broker, stand.lines::add, stand.counters), () -> {
+            gateway = new Gateway.Ajp();
+            return gateway;
+        });
     }
 
     private Map<String, String> fields() {
@@ -49,12 +39,12 @@
     }
 
     private Answer ask(String path, int length, byte[] chunk) {
-        send(Gateway.Ajp.forward(path, "probe=1", fields(), length));
+        model.send(Gateway.Ajp.forward(path, "probe=1", fields(), length));
         if (length != 0) {
-            send(Gateway.Ajp.chunk(chunk, 0, chunk.length));
+            model.send(Gateway.Ajp.chunk(chunk, 0, chunk.length));
         }
         model.stand.pass(3_000);
-        model.stand.read(channel, gateway);
+        model.stand.read(model.channel, gateway);
         return gateway.answers.poll();
     }
 
@@ -62,87 +52,66 @@
     void keepsToTheModel(@ForAll @Size(min = 20, max = 150) List<@IntRange(max = 99_999) Integer> steps) {
         for (int step : steps) {
             switch (step % 8) {
-                case 0, 1, 2 -> {
-                    if (!model.busy(PLACE)) {
-                        byte[] all = model.ask(gateway, PLACE, step % 3 == 0, step % 2049, step % 400);
-                        int cut = step % all.length; // in two pieces, wherever the cut falls
-                        send(Arrays.copyOf(all, cut));
-                        send(Arrays.copyOfRange(all, cut, all.length));
-                    }
-                }
+                case 0, 1, 2 -> model.ask(PLACE, step);
                 case 3, 4 -> model.endRun(step / 8);
                 case 5 -> model.stand.pass(step * 10L);
                 case 6 -> {
                     if (!model.busy(PLACE)) {
                         int before = gateway.pongs;
-                        send(Gateway.Ajp.cping());
+                        model.send(Gateway.Ajp.cping());
                         assertEquals(before + 1, gateway.pongs);
                     }
                 }
                 default -> {
-                    if (step % 40 == 7) { // a closed connection is the caller leaving
-                        model.gone();
-                        channel.close();
-                        gateway = new Gateway.Ajp();
-                        channel = open();
+                    if (step % 40 == 7) {
+                        model.reopen();
                     }
                 }
             }
-            model.stand.pass(step % 7_000);
-            model.stand.read(channel, gateway);
-            model.check(gateway);
-            assertTrue(channel.isOpen() && !gateway.refusesReuse, () -> String.join("\n", model.stand.lines));
+            model.check(step % 7_000);
+            assertTrue(model.channel.isOpen() && !gateway.refusesReuse);
         }
-        model.stand.pass(6_000_000);
-        model.stand.read(channel, gateway);
-        model.check(gateway);
-        assertEquals(0, model.stand.broker.owed());
-        channel.close();
-        assertEquals(0, model.stand.counters.get("faults"));
-        assertEquals(0, model.stand.counters.get("controller-faults"));
+        model.checkEnd();
     }
 
     @Property(seed = "1764576003")
     void anyBytesEndInAnAnswerOrAClose(@ForAll @Size(max = 300) byte[] bytes, @ForAll boolean asPacket) {
-        send(asPacket ? Gateway.Ajp.packet(bytes) : bytes);
-        channel.close();
-        assertEquals(0, model.stand.counters.get("faults"));
-        assertEquals(1, model.stand.lines.stream().filter(line -> line.startsWith("end side=ajp")).count());
+        model.send(asPacket ? Gateway.Ajp.packet(bytes) : bytes);
+        model.checkClosed();
     }
 
     @Property(seed = "1764576004", tries = 60)
     void aForwardCutShortInItsPacketClosesTheConnection(@ForAll @IntRange(min = 1, max = 150) int less) {
         byte[] whole = Gateway.Ajp.forward("/call/" + Stand.LOOK, "", fields(), 0);
         byte[] payload = Arrays.copyOfRange(whole, 4, Math.max(5, whole.length - less));
-        send(Gateway.Ajp.packet(payload));
-        assertFalse(channel.isOpen());
-        assertTrue(model.stand.lines.get(model.stand.lines.size() - 1).contains("reason=malformed"));
+        model.send(Gateway.Ajp.packet(payload));
+        assertTrue(model.endedAs("malformed"));
     }
 
     @Example
     void asksForTheBodyWhereItsLengthIsNotTold() {
         byte[] body = new byte[1500];
-        send(Gateway.Ajp.forward("/call/" + Stand.LOOK, "", fields(), -1));
+        model.send(Gateway.Ajp.forward("/call/" + Stand.LOOK, "", fields(), -1));
         assertTrue(gateway.asked >= body.length);
-        send(Gateway.Ajp.chunk(body, 0, 1000));
+        model.send(Gateway.Ajp.chunk(body, 0, 1000));
         assertEquals(0, model.stand.counters.get("read"));
-        send(Gateway.Ajp.chunk(body, 1000, 1500));
-        send(Gateway.Ajp.chunk(body, 0, 0));
+        model.send(Gateway.Ajp.chunk(body, 1000, 1500));
+        model.send(Gateway.Ajp.chunk(body, 0, 0));
         assertEquals(1, model.stand.counters.get("read"));
         model.stand.pass(3_000);
         model.stand.finish(Stand.id(1), Outcome.GOOD);
-        model.stand.read(channel, gateway);
+        model.stand.read(model.channel, gateway);
         assertEquals(200, gateway.answers.remove().status());
     }
 
     @Example
     void asksForTheRestOfABodyThatComesInChunks() {
         byte[] body = new byte[2000];
-        send(Gateway.Ajp.forward("/call/" + Stand.LOOK, "", fields(), body.length));
+        model.send(Gateway.Ajp.forward("/call/" + Stand.LOOK, "", fields(), body.length));
         assertEquals(0, gateway.asked, "the first chunk comes unasked");
-        send(Gateway.Ajp.chunk(body, 0, 1200));
+        model.send(Gateway.Ajp.chunk(body, 0, 1200));
         assertEquals(800, gateway.asked);
-        send(Gateway.Ajp.chunk(body, 1200, 2000));
+        model.send(Gateway.Ajp.chunk(body, 1200, 2000));
         assertEquals(1, model.stand.counters.get("read"));
     }
 
@@ -153,15 +122,14 @@
         assertEquals(400, ask("/elsewhere", 0, null).status());
         assertEquals(500, ask("/call/nothing", 0, null).status());
         assertEquals(200, ask("/ping", 0, null).status());
-        assertTrue(channel.isOpen());
+        assertTrue(model.channel.isOpen());
     }
 
     @Example
     void aPacketBeforeTheAnswerClosesTheConnection() {
-        send(Gateway.Ajp.forward("/call/" + Stand.LOOK, "", fields(), 0));
-        send(Gateway.Ajp.cping());
-        assertFalse(channel.isOpen());
-        assertTrue(model.stand.lines.get(model.stand.lines.size() - 1).contains("reason=too-many-open"));
+        model.send(Gateway.Ajp.forward("/call/" + Stand.LOOK, "", fields(), 0));
+        model.send(Gateway.Ajp.cping());
+        assertTrue(model.endedAs("too-many-open"));
         assertEquals(0, model.stand.broker.owed(), "its caller has left");
     }
 
@@ -173,6 +141,6 @@
         assertEquals(503, answer.status());
         assertTrue(Long.parseLong(answer.fields().get("Hold-Off-Ms")) > 0);
         assertTrue(gateway.refusesReuse);
-        assertFalse(channel.isOpen());
+        assertFalse(model.channel.isOpen());
     }
 }
--- a/src/test/java/mothwing/broker/BrokerTest.java
+++ b/src/test/java/mothwing/broker/BrokerTest.java
@@ -187,6 +187,35 @@
         assertEquals(List.of("failed stale"), answers);
     }
 
+    /** Guards against an order that waits for its due time though its start never left this process. */
+    @Test
+    void startsOnceTheLinkIsBackWhatWasNeverHandedOver() throws Arrival.Bad {
+        stand.linked = false;
+        ask(1, Stand.ORDER);
+        stand.broker.start(Stand.id(1));
+        stand.linked = true;
+        stand.broker.caughtUp();
+        stand.broker.caughtUp();
+        assertEquals(1, stand.spawns.get(Stand.id(1)));
+        stand.finish(Stand.id(1), Outcome.GOOD);
+        assertEquals(List.of("served"), answers);
+    }
+
+    /** Guards against a run whose end never comes: it would take a place on the cores and in the table for ever. */
+    @Test
+    void givesUpARunWhoseEndWasLost() throws Arrival.Bad {
+        ask(1, Stand.ORDER);
+        stand.broker.start(Stand.id(1));
+        stand.running.clear();
+        stand.pass(14 * SECOND);
+        assertEquals(List.of("failed overdue"), answers);
+        assertTrue(!decisions.told.contains("finished MOOT"));
+        stand.pass(SECOND);
+        assertTrue(decisions.told.contains("finished MOOT"));
+        assertEquals(1, stand.counters.get("lost-runs"));
+        assertTrue(stand.broker.counts().startsWith("in_hand=0 "), stand.broker.counts());
+    }
+
     @Test
     void runsNothingThatCameAfterTheGraceOfADrain() throws Arrival.Bad {
         stand.broker.drain(9 * SECOND);
--- a/src/test/java/mothwing/cli/CommandsTest.java
+++ b/src/test/java/mothwing/cli/CommandsTest.java
@@ -1,8 +1,10 @@
 package mothwing.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -76,6 +78,32 @@
         assertEquals(2, run("serve", "--config", folder.resolve("none").toString()));
     }
 
+    /** The whole process: it takes the signal as the notice to leave, and ends well with its counts. */
+    @Test
+    void servesUntilItIsToldToLeave() throws Exception {
+        try (StandInPool pool = new StandInPool(1)) {
+            String address = "127.0.0.1:" + pool.address().getPort();
+            String file = config(CONFIG.replace("127.0.0.1:9090", "127.0.0.1:0").replace("127.0.0.1:4400", address));
+            Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), "mothwing.Main", "serve", "--config", file)
+                    .redirectErrorStream(true).start();
+            try (BufferedReader log = process.inputReader()) {
+                String line = "";
+                while (!line.contains(" ready ")) {
+                    line = log.readLine();
+                    assertNotNull(line, "it ended before it was ready");
+                }
+                process.toHandle().destroy(); // the signal alone: Process.destroy would close the log as well
+                List<String> rest = log.lines().toList();
+                assertEquals(0, process.waitFor(), rest::toString);
+                assertTrue(rest.stream().anyMatch(one -> one.contains(" drain owed=0 ")), rest::toString);
+                assertTrue(rest.get(rest.size() - 1).contains(" counts in_hand=0 owed=0 "), rest::toString);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void asksARunningServerForItsCounters() throws Exception {
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
--- a/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
+++ b/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
@@ -1,11 +1,10 @@
 package mothwing.fastcgi;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.embedded.EmbeddedChannel;
-import java.util.Arrays;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.util.List;
 import java.util.Map;
 import mothwing.testing.FrontModel;
@@ -23,28 +22,16 @@
     private static final int PLACES = 8;
 
     private FrontModel model;
-    private Gateway.FastCgi gateway;
-    private EmbeddedChannel channel;
 
     @BeforeTry
     void anew() {
-        model = new FrontModel();
-        gateway = new Gateway.FastCgi();
-        channel = open();
-    }
-
-    private EmbeddedChannel open() {
-        return model.stand.open(new FastCgiConnection(model.stand.broker, model.stand.lines::add,
-                model.stand.counters));
-    }
-
-    private void send(byte[] bytes) {
-        model.stand.send(channel, gateway, bytes);
+        model = new FrontModel(stand -> new FastCgiConnection(stand.broker, stand.lines::add, stand.counters),
+                Gateway.FastCgi::new);
     }
 
     private int status(byte[] request) {
-        send(request);
-        return gateway.answers.remove().status();
+        model.send(request);
+        return model.gateway.answers.remove().status();
     }
 
     @Property(seed = "1764576000")
@@ -52,78 +39,58 @@
         for (int step : steps) {
             int place = 1 + step / 10 % PLACES;
             switch (step % 10) {
-                case 0, 1, 2, 3 -> {
-                    if (!model.busy(place)) {
-                        byte[] all = model.ask(gateway, place, step % 3 == 0, step % 2049, step % 400);
-                        int cut = step % all.length; // in two pieces, wherever the cut falls
-                        send(Arrays.copyOf(all, cut));
-                        send(Arrays.copyOfRange(all, cut, all.length));
-                    }
-                }
+                case 0, 1, 2, 3 -> model.ask(place, step);
                 case 4 -> {
                     model.left(place);
-                    send(Gateway.FastCgi.abort(place));
-                    gateway.answers.removeIf(one -> one.id() == place); // one answer does no harm
+                    model.send(Gateway.FastCgi.abort(place));
+                    model.gateway.answers.removeIf(one -> one.id() == place); // one answer does no harm
                 }
                 case 5, 6, 7 -> model.endRun(step / 10);
                 case 8 -> model.stand.pass(step * 10L);
                 default -> {
                     if (step % 50 == 9) {
-                        model.gone();
-                        channel.close();
-                        channel = open();
+                        model.reopen();
                     }
                 }
             }
-            model.stand.pass(step % 7_000);
-            model.stand.read(channel, gateway);
-            model.check(gateway);
+            model.check(step % 7_000);
         }
-        model.stand.pass(6_000_000);
-        model.stand.read(channel, gateway);
-        model.check(gateway);
-        assertEquals(0, model.stand.broker.owed());
-        channel.close();
-        assertEquals(0, model.stand.counters.get("faults"));
-        assertEquals(0, model.stand.counters.get("controller-faults"));
+        model.checkEnd();
     }
 
     @Property(seed = "1764576001")
     void anyBytesEndInAnAnswerOrAClose(@ForAll @Size(max = 300) byte[] bytes, @ForAll boolean asRecord) {
-        send(Gateway.FastCgi.begin(3));
-        send(asRecord ? Gateway.FastCgi.record(4, 3, bytes) : bytes);
-        send(Gateway.FastCgi.record(4, 3, new byte[0]));
-        send(Gateway.FastCgi.record(5, 3, new byte[0]));
-        channel.close();
-        assertEquals(0, model.stand.counters.get("faults"));
-        assertEquals(1, model.stand.lines.stream().filter(line -> line.startsWith("end side=fastcgi")).count());
+        model.send(Gateway.FastCgi.begin(3));
+        model.send(asRecord ? Gateway.FastCgi.record(4, 3, bytes) : bytes);
+        model.send(Gateway.FastCgi.record(4, 3, new byte[0]));
+        model.send(Gateway.FastCgi.record(5, 3, new byte[0]));
+        model.checkClosed();
     }
 
     @Example
     void failsARequestThatMakesNoSenseAndKeepsTheConnection() {
         Map<String, String> good = Gateway.fields(Stand.id(1), Stand.WALL_MS);
-        assertEquals(413, status(gateway.request(1, "/call/" + Stand.LOOK, "", good, new byte[2049])));
-        assertEquals(500, status(gateway.request(1, "/call/nothing", "", good, new byte[0])));
-        assertEquals(400, status(gateway.request(1, "/elsewhere", "", good, new byte[0])));
+        assertEquals(413, status(model.gateway.request(1, "/call/" + Stand.LOOK, "", good, new byte[2049])));
+        assertEquals(500, status(model.gateway.request(1, "/call/nothing", "", good, new byte[0])));
+        assertEquals(400, status(model.gateway.request(1, "/elsewhere", "", good, new byte[0])));
         for (String name : List.of("Trace-Id", "Accepted-At-Ms", "Reserve-Kb", "Standing")) {
             Map<String, String> bad = Gateway.fields(Stand.id(1), Stand.WALL_MS);
             bad.put(name, "NaN");
-            assertEquals(400, status(gateway.request(1, "/call/" + Stand.LOOK, "", bad, new byte[0])), name);
+            assertEquals(400, status(model.gateway.request(1, "/call/" + Stand.LOOK, "", bad, new byte[0])), name);
         }
         good.put("Lookup-Key", "k".repeat(9000));
-        assertEquals(413, status(gateway.request(1, "/call/" + Stand.LOOK, "", good, new byte[0])));
-        assertEquals(200, status(gateway.request(1, "/ping", "probe=1", Map.of(), new byte[0])));
-        assertTrue(channel.isOpen());
+        assertEquals(413, status(model.gateway.request(1, "/call/" + Stand.LOOK, "", good, new byte[0])));
+        assertEquals(200, status(model.gateway.request(1, "/ping", "probe=1", Map.of(), new byte[0])));
+        assertTrue(model.channel.isOpen());
     }
 
     @Example
     void closesOnMoreRequestsThanMayBeOpen() {
         for (int id = 1; id <= 33; id++) {
-            assertTrue(channel.isOpen());
-            send(Gateway.FastCgi.begin(id));
+            assertTrue(model.channel.isOpen());
+            model.send(Gateway.FastCgi.begin(id));
         }
-        assertFalse(channel.isOpen());
-        assertTrue(model.stand.lines.get(model.stand.lines.size() - 1).contains("reason=too-many-open"));
+        assertTrue(model.endedAs("too-many-open"));
     }
 
     @Example
@@ -132,8 +99,8 @@
         byte[] pair = new byte[2 + name.length];
         pair[0] = (byte) name.length;
         System.arraycopy(name, 0, pair, 2, name.length);
-        channel.writeInbound(io.netty.buffer.Unpooled.copiedBuffer(Gateway.FastCgi.record(9, 0, pair)));
-        io.netty.buffer.ByteBuf out = channel.readOutbound();
+        model.channel.writeInbound(Unpooled.copiedBuffer(Gateway.FastCgi.record(9, 0, pair)));
+        ByteBuf out = model.channel.readOutbound();
         assertEquals(10, out.getByte(1));
         assertEquals('1', out.getByte(out.writerIndex() - 1));
         out.release();
--- a/src/test/java/mothwing/testing/FrontModel.java
+++ b/src/test/java/mothwing/testing/FrontModel.java
@@ -5,9 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import mothwing.OverloadControl.Outcome;
+import mothwing.net.Connection;
 
 /**
  * The model that both fronts are checked against: what was read is owed one answer by its due time unless its
@@ -31,18 +36,48 @@
 
     /** The server under test. */
     public final Stand stand = new Stand().bound();
+    /** What the gateway sends and reads on the connection under test. */
+    public Gateway gateway;
+    /** The connection under test. */
+    public EmbeddedChannel channel;
+
+    private final Function<Stand, Connection> maker;
+    private final Supplier<Gateway> speaker;
 
     private final Map<Integer, Known> owed = new HashMap<>();
     private int made;
-    private int answered;
 
-    /** Notes a request that is sent whole on a place of the connection, and gives its bytes. */
-    public byte[] ask(Gateway gateway, int place, boolean order, int bodySize, int lateMs) {
+    /** Makes a model with one open connection of a front. */
+    public FrontModel(Function<Stand, Connection> maker, Supplier<Gateway> speaker) {
+        this.maker = maker;
+        this.speaker = speaker;
+        open();
+    }
+
+    private void open() {
+        gateway = speaker.get();
+        channel = stand.open(maker.apply(stand));
+    }
+
+    /** Sends bytes of the gateway, and reads what comes back at once. */
+    public void send(byte[] bytes) {
+        stand.send(channel, gateway, bytes);
+    }
+
+    /** Sends a request on a place of the connection, unless one is open there: in two pieces, cut anywhere. */
+    public void ask(int place, int step) {
+        if (owed.containsKey(place)) {
+            return;
+        }
+        boolean order = step % 3 == 0;
+        int lateMs = step % 400;
         String id = Stand.id(++made);
-        byte[] body = new byte[bodySize];
         owed.put(place, new Known(id, order, stand.now() - lateMs * 1000L + DUE));
-        return gateway.request(place, order ? "/call/" + Stand.ORDER : "/call/" + Stand.LOOK, "",
-                Gateway.fields(id, stand.wallMs() - lateMs), body);
+        byte[] all = gateway.request(place, order ? "/call/" + Stand.ORDER : "/call/" + Stand.LOOK, "",
+                Gateway.fields(id, stand.wallMs() - lateMs), new byte[step % 2049]);
+        int cut = step % all.length;
+        send(Arrays.copyOf(all, cut));
+        send(Arrays.copyOfRange(all, cut, all.length));
     }
 
     /** Whether a place of the connection is taken. */
@@ -55,14 +90,11 @@
         owed.remove(place);
     }
 
-    /** The connection is gone, and all its callers with it. */
-    public void gone() {
+    /** The gateway closes the connection, which is all its callers leaving, and opens another. */
+    public void reopen() {
         owed.clear();
-    }
-
-    /** How many answers were checked. */
-    public int answered() {
-        return answered;
+        channel.close();
+        open();
     }
 
     /** Ends some run, well or badly. */
@@ -73,13 +105,14 @@
         }
     }
 
-    /** Checks all that the gateway has read, and that nothing is overdue. */
-    public void check(Gateway gateway) {
+    /** Lets time pass, and checks all that the gateway has read by then, and that nothing is overdue. */
+    public void check(long span) {
+        stand.pass(span);
+        stand.read(channel, gateway);
         Answer answer;
         while ((answer = gateway.answers.poll()) != null) {
             Known known = owed.remove(answer.id());
             assertNotNull(known, "an answer that is not owed");
-            answered++;
             boolean ran = stand.spawns.containsKey(known.id);
             assertNotNull(answer.fields().get("Feedback"));
             switch (answer.status()) {
@@ -94,4 +127,27 @@
         }
         stand.spawns.forEach((id, times) -> assertEquals(1, times, id + " ran twice"));
     }
+
+    /** Waits until all must be answered, and checks that all is and that nothing went wrong inside. */
+    public void checkEnd() {
+        check(6_000_000);
+        assertEquals(0, owed.size());
+        assertEquals(0, stand.broker.owed());
+        checkClosed();
+        assertEquals(0, stand.counters.get("controller-faults"));
+    }
+
+    /** Closes the connection, and checks that it ended without a fault and with one line in the log. */
+    public void checkClosed() {
+        stand.lines.clear();
+        boolean open = channel.isOpen();
+        channel.close();
+        assertEquals(0, stand.counters.get("faults"));
+        assertEquals(open ? 1 : 0, stand.lines.stream().filter(line -> line.startsWith("end side=")).count());
+    }
+
+    /** Whether the last line of the log is that of a connection which ended for a reason. */
+    public boolean endedAs(String reason) {
+        return !channel.isOpen() && stand.lines.get(stand.lines.size() - 1).contains(" reason=" + reason + " ");
+    }
 }
--- a/src/test/java/mothwing/testing/Stand.java
+++ b/src/test/java/mothwing/testing/Stand.java
@@ -174,10 +174,14 @@
     }
 
     @Override
-    public void spawn(Exchange exchange) {
+    public boolean spawn(Exchange exchange) {
         String id = exchange.arrival().id();
+        if (!linked) {
+            return false;
+        }
         spawns.merge(id, 1, Integer::sum);
         running.put(id, result(id));
+        return true;
     }
 
     @Override
