--- a/src/main/java/mothwing/settings/SettingsCodec.java
+++ b/src/main/java/mothwing/settings/SettingsCodec.java
@@ -14,7 +14,10 @@
 import mothwing.OverloadControl.Signals;
 import mothwing.OverloadControl.Tenant;
 
-/** Turns the JSON object of the settings, in the names of the simulator's wire, into {@link Settings}; unknown keys are ignored. */
+/**
+ * Turns the JSON object of the settings, in the names of the simulator's wire, into {@link Settings}; unknown
+ * keys are ignored.
+ */
 public final class SettingsCodec {
     private SettingsCodec() {
     }
--- a/src/test/java/mothwing/ProjectTest.java
+++ b/src/test/java/mothwing/ProjectTest.java
@@ -1,5 +1,6 @@
 package mothwing;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import mothwing.server.Config;
 import org.junit.jupiter.api.Test;
 
 /** The limits of the module's text and the names in the deploy file. */
@@ -52,6 +54,8 @@
             }
         }
         assertTrue(deploy.contains("target/mothwing.jar serve"));
+        assertFalse(deploy.contains("--ajp"), "AJP is off on the platform");
+        assertEquals(8009, Config.readListen(Path.of("deploy/ajp.json")).getPort());
         assertTrue(deploy.contains("target/mothwing.jar adapter"));
         assertTrue(Files.readString(Path.of("pom.xml")).contains("<finalName>mothwing</finalName>"));
     }
--- a/src/test/java/mothwing/cli/CommandsTest.java
+++ b/src/test/java/mothwing/cli/CommandsTest.java
@@ -1,6 +1,7 @@
 package mothwing.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -85,13 +86,15 @@
             String address = "127.0.0.1:" + pool.address().getPort();
             String file = config(CONFIG.replace("127.0.0.1:9090", "127.0.0.1:0").replace("127.0.0.1:4400", address));
             Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-cp", System.getProperty("java.class.path"), "mothwing.Main", "serve", "--config", file)
+                    "-cp", System.getProperty("java.class.path"), "mothwing.Main", "serve", "--config", file,
+                    "--ajp", Files.writeString(folder.resolve("ajp.json"), "{\"listen\":\"127.0.0.1:0\"}").toString())
                     .redirectErrorStream(true).start();
             try (BufferedReader log = process.inputReader()) {
                 String line = "";
                 while (!line.contains(" ready ")) {
                     line = log.readLine();
                     assertNotNull(line, "it ended before it was ready");
+                    assertFalse(line.contains("ajp=off"), line);
                 }
                 process.toHandle().destroy(); // the signal alone: Process.destroy would close the log as well
                 List<String> rest = log.lines().toList();
--- a/src/test/java/mothwing/server/ServerTest.java
+++ b/src/test/java/mothwing/server/ServerTest.java
@@ -82,7 +82,8 @@
     void stop() throws IOException {
         server.close();
         pool.close();
-        assertTrue(List.copyOf(lines).stream().noneMatch(line -> line.contains("fault")), () -> String.join("\n", lines));
+        assertTrue(List.copyOf(lines).stream().noneMatch(line -> line.contains("fault")),
+                () -> String.join("\n", lines));
     }
 
     @Test
@@ -205,7 +206,8 @@
                         while (!text.endsWith("}")) {
                             text += new String(came, 0, call.getInputStream().read(came));
                         }
-                        if (text.startsWith("PUT /announce/n1 HTTP/1.1\r\n") && text.endsWith("{\"accepting\":\"true\"}")) {
+                        if (text.startsWith("PUT /announce/n1 HTTP/1.1\r\n")
+                                && text.endsWith("{\"accepting\":\"true\"}")) {
                             call.getOutputStream().write("HTTP/1.1 204 No Content\r\n\r\n".getBytes());
                             reports.countDown();
                         }
--- a/src/test/java/mothwing/testing/FrontModel.java
+++ b/src/test/java/mothwing/testing/FrontModel.java
@@ -122,7 +122,8 @@
             }
         }
         for (Known known : owed.values()) {
-            assertTrue(stand.now() <= known.dueAt, () -> known.id + " is overdue at " + stand.now() + "\n" + stand.counters
+            assertTrue(stand.now() <= known.dueAt, () -> known.id + " is overdue at " + stand.now() + "\n"
+                    + stand.counters
                     + "\n" + String.join("\n", stand.lines));
         }
         stand.spawns.forEach((id, times) -> assertEquals(1, times, id + " ran twice"));
