--- a/src/main/java/mothwing/net/Reason.java
+++ b/src/main/java/mothwing/net/Reason.java
@@ -8,8 +8,6 @@
     PEER_CLOSED,
     /** The other side reset it, or the network broke it. */
     PEER_RESET,
-    /** It could not be opened. */
-    NOT_OPENED,
     /** It was idle for longer than connections may be now. */
     IDLE,
     /** This process is leaving. */
@@ -22,10 +20,8 @@
     TOO_MANY_OPEN,
     /** The other side asked for it to be closed after the answer. */
     ASKED,
-    /** An answer did not come in time. */
+    /** An answer, or the rest of a request, did not come in time. */
     NO_ANSWER,
-    /** A newer link to the same peer took its place. */
-    REPLACED,
     /** A fault of this program; the line before it has the details. */
     FAULT;
 
--- a/src/test/java/mothwing/pool/PoolTest.java
+++ b/src/test/java/mothwing/pool/PoolTest.java
@@ -21,6 +21,7 @@
 import mothwing.broker.Arrival;
 import mothwing.broker.Caller;
 import mothwing.net.Connection;
+import mothwing.testing.Gateway;
 import mothwing.testing.Stand;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -111,7 +112,7 @@
     private void ask(boolean order) throws Arrival.Bad {
         String id = Stand.id(++made);
         Arrival.Fields fields = new Arrival.Fields();
-        mothwing.testing.Gateway.fields(id, stand.wallMs()).forEach(fields::set);
+        Gateway.fields(id, stand.wallMs()).forEach(fields::set);
         stand.broker.read(fields.at("/call/" + (order ? Stand.ORDER : Stand.LOOK), new byte[3]), new Caller() {
             private void once(String answer) {
                 assertEquals(null, answers.put(id, answer), id + " is answered twice");
