Take the notice to leave before the pool is up without a fault

Seen in a smoke run without a pool: SIGTERM logged two controller-fault lines, as Broker.drain queued an event for decisions that are made only once the pool binds. The process did end with status 0. The notice is now kept and told when the pool binds; BrokerTest fails without the change. A request before that is refused as before.

--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -67,6 +67,7 @@
     private boolean checkGood = true;
     private boolean draining;
     private long noticeAt;
+    private long stopAt;
     private Consumer<Long> trimmer = span -> { };
 
     /**
@@ -233,9 +234,11 @@
         }
         draining = true;
         noticeAt = timers.now();
-        long stopAt = noticeAt + stopAfter;
+        stopAt = noticeAt + stopAfter;
         log.line("drain owed=" + owed() + " stop_ms=" + stopAfter / MILLI);
-        event((to, at) -> to.drain(at, stopAt));
+        if (controller != null) { // the notice may come before the pool is up
+            event((to, at) -> to.drain(at, stopAt));
+        }
     }
 
     // what the pool brings
@@ -259,6 +262,9 @@
         log.line("ready cold=" + fresh + " age_ms=" + age / MILLI);
         controller.started(timers.now() - age);
         timers.at(timers.now() + WATCH, this::watch);
+        if (draining) {
+            event((to, at) -> to.drain(at, stopAt));
+        }
     }
 
     /**
--- a/src/test/java/mothwing/broker/BrokerTest.java
+++ b/src/test/java/mothwing/broker/BrokerTest.java
@@ -216,6 +216,19 @@
         assertTrue(stand.broker.counts().startsWith("in_hand=0 "), stand.broker.counts());
     }
 
+    /** Guards against a notice to leave that comes before the pool is up: there are no decisions to tell yet. */
+    @Test
+    void takesTheNoticeToLeaveBeforeThePoolIsUp() throws Arrival.Bad {
+        stand = new Stand(decisions);
+        stand.broker.drain(9 * SECOND);
+        ask(1, Stand.LOOK);
+        stand.pass(SECOND);
+        assertEquals(List.of("refused false 0"), answers);
+        assertEquals(0, stand.counters.get("controller-faults"));
+        stand.bound().pass(SECOND);
+        assertEquals(List.of("started", "drain", "settled"), decisions.told);
+    }
+
     @Test
     void runsNothingThatCameAfterTheGraceOfADrain() throws Arrival.Bad {
         stand.broker.drain(9 * SECOND);
