--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -132,7 +132,7 @@
         } else if (open.containsKey(arrival.id())) {
             fail(exchange, "repeated-trace-id");
         } else if (controller == null) {
-            refuse(exchange, "not-ready", false, 0);
+            refuse(exchange, "not-ready", false, told.signals().longestAdvice() / MILLI);
         } else if (open.size() >= MOST_OPEN) {
             refuse(exchange, "table-full", false, told.signals().longestAdvice() / MILLI);
         } else {
