Take SIGHUP: read the configuration again, move the pool link and the announcer

Cause: cli/Serve.run took no SIGHUP, so the runtime's default ran the shutdown hook `leave`; Pool and Announcer held their address in a final Dial.

- cli/Hangup takes the signal, before the configuration is first read; server/Reload reads the file on a thread of its own, one reading after the other; Server.reload applies addresses and stop_ms on the event loop.
- Pool dials the new address at once, gives up attempts at the old one, and closes the old link only when the pool has taken the new one; `bind` carries the last notice read.
The first dial after a break has no wait now.

--- a/src/main/java/mothwing/announce/Announcer.java
+++ b/src/main/java/mothwing/announce/Announcer.java
@@ -11,13 +11,14 @@
 public final class Announcer {
     static final long PERIOD = 1_000_000;
 
-    private final Dial dialer;
     private final String name;
     private final BooleanSupplier accepting;
     private final Timers timers;
     private final Counters counters;
     private final Log log;
+    private Dial dialer;
     private ReportLink link;
+    private int dials;
     private boolean dialing;
     private boolean stopped;
 
@@ -43,18 +44,44 @@
 
     /** Reports now, and every second from now on. */
     public void start() {
-        if (stopped) {
-            return;
+        if (!stopped) {
+            timers.at(timers.now() + PERIOD, this::start);
+            report();
         }
-        timers.at(timers.now() + PERIOD, this::start);
+    }
+
+    private void report() {
         if (link != null) {
             link.report(accepting.getAsBoolean());
         } else if (!dialing) {
-            dialing = true;
-            dialer.dial(() -> new ReportLink(this, name, log, counters), () -> {
+            dial();
+        }
+    }
+
+    private void dial() {
+        dialing = true;
+        int mine = ++dials;
+        dialer.dial(() -> new ReportLink(this, mine, name, log, counters), () -> {
+            counters.add("announce-unreached");
+            if (mine == dials) {
                 dialing = false;
-                counters.add("announce-unreached");
-            });
+            }
+        });
+    }
+
+    /**
+     * The announce service is to be reached elsewhere from now on, and is told so at once.
+     *
+     * @param elsewhere opens connections to the new address
+     */
+    public void moved(Dial elsewhere) {
+        dialer = elsewhere;
+        if (link != null) {
+            link.close(Reason.MOVED, "");
+            link = null;
+        }
+        if (!stopped) {
+            dial();
         }
     }
 
@@ -66,7 +93,12 @@
         }
     }
 
-    void opened(ReportLink opened) {
+    /** A connection is open: the next report leaves on it, unless it comes too late. */
+    void opened(ReportLink opened, int dial) {
+        if (stopped || dial != dials) {
+            opened.close(stopped ? Reason.DRAIN : Reason.MOVED, "");
+            return;
+        }
         dialing = false;
         link = opened;
         link.report(accepting.getAsBoolean());
--- a/src/main/java/mothwing/announce/ReportLink.java
+++ b/src/main/java/mothwing/announce/ReportLink.java
@@ -18,18 +18,20 @@
     private static final int MOST_MISSED = 3; // periods without an answer, after which the link is opened anew
 
     private final Announcer announcer;
+    private final int dial;
     private final String name;
     private int waiting;
 
-    ReportLink(Announcer announcer, String name, Log log, Counters counters) {
+    ReportLink(Announcer announcer, int dial, String name, Log log, Counters counters) {
         super("announce", MOST_ANSWER, log, counters);
         this.announcer = announcer;
+        this.dial = dial;
         this.name = name;
     }
 
     @Override
     protected void opened() {
-        announcer.opened(this);
+        announcer.opened(this, dial);
     }
 
     @Override
--- a/src/main/java/mothwing/cli/Serve.java
+++ b/src/main/java/mothwing/cli/Serve.java
@@ -2,11 +2,11 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.io.Reader;
-import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import mothwing.server.Config;
 import mothwing.server.LineLog;
+import mothwing.server.Reload;
 import mothwing.server.Server;
 
 /** Runs one shop server in the foreground until it has drained. */
@@ -15,31 +15,28 @@
     }
 
     static int run(String path, String ajp, PrintStream out) throws IOException, InterruptedException {
-        Config config = read(path);
+        CompletableFuture<Reload> started = new CompletableFuture<>();
+        boolean hangups = Hangup.handle(() -> started.thenAccept(Reload::again)); // early: the default ends it
+        Config config = Config.read(path);
         LineLog log = new LineLog(out);
+        if (!hangups) {
+            log.line("reload-failed what=\"this runtime takes no SIGHUP\"");
+        }
         Server server = new Server(config, ajp == null ? null : Config.readListen(Path.of(ajp)), log);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, log), "leave"));
         server.start();
+        started.complete(new Reload(path, server, log));
         server.await();
         return 0;
     }
 
     static int check(String path, PrintStream out) throws IOException {
-        Config config = read(path);
+        Config config = Config.read(path);
         out.println("good: " + config.name() + " listens on " + config.listen() + ", "
                 + config.settings().classes().size() + " classes, " + config.settings().tenants().size() + " tenants");
         return 0;
     }
 
-    private static Config read(String path) throws IOException {
-        if (path.isEmpty()) {
-            throw new IOException("no configuration: give --config or EDGE_CONFIG");
-        }
-        try (Reader text = Files.newBufferedReader(Path.of(path))) {
-            return Config.read(text);
-        }
-    }
-
     /** The notice to leave is a signal to end: the runtime waits for this, and then ends with status 0. */
     private static void leave(Server server, LineLog log) {
         try {
--- a/src/main/java/mothwing/net/Reason.java
+++ b/src/main/java/mothwing/net/Reason.java
@@ -20,6 +20,8 @@
     TOO_MANY_OPEN,
     /** The other side asked for it to be closed after the answer. */
     ASKED,
+    /** The party is reached at another address now, or by a newer connection. */
+    MOVED,
     /** An answer, or the rest of a request, did not come in time. */
     NO_ANSWER,
     /** A fault of this program; the line before it has the details. */
--- a/src/main/java/mothwing/pool/Pool.java
+++ b/src/main/java/mothwing/pool/Pool.java
@@ -10,8 +10,13 @@
 import mothwing.broker.Workers;
 import mothwing.net.Connection;
 import mothwing.net.Dial;
+import mothwing.net.Reason;
 
-/** The worker pool over its links: a link that breaks is opened again and goes on after the last notice read. */
+/**
+ * The worker pool over its links: a link that breaks is opened again and goes on after the last notice read, and
+ * so does the link to a new address. The old link is heard until the pool has taken the new one, so that what was
+ * sent on it last is read.
+ */
 public final class Pool implements Workers {
     static final Set<String> NOTICES = Set.of("bound", "finished", "polled", "verified", "unknown", "chatter");
 
@@ -19,14 +24,17 @@
     private static final long FIRST_WAIT = 20 * MILLI;
     private static final long LONGEST_WAIT = 500 * MILLI;
 
-    private final Dial dialer;
     private final Timers timers;
     private final Counters counters;
     private final Log log;
+    private Dial dialer;
     private Broker broker;
     private PoolLink link;
+    private PoolLink former;
     private long last;
-    private long wait = FIRST_WAIT;
+    private long wait;
+    private int dials;
+    private boolean dialing;
     private boolean stopped;
 
     /**
@@ -54,22 +62,63 @@
         dial();
     }
 
+    /**
+     * The pool is to be reached elsewhere from now on: any attempt at the old address is given up.
+     *
+     * @param elsewhere opens links to the new address
+     */
+    public void moved(Dial elsewhere) {
+        dialer = elsewhere;
+        wait = 0;
+        if (broker != null) {
+            dial();
+        }
+    }
+
     private void dial() {
         if (stopped) {
             return;
         }
-        Supplier<Connection> maker = () -> {
-            link = new PoolLink(this, broker, log, counters);
-            return link;
-        };
-        dialer.dial(maker, this::again);
-    }
-
-    private void again() {
-        if (!stopped) {
-            counters.add("pool-relinks");
-            timers.at(timers.now() + wait, this::dial);
-            wait = Math.min(LONGEST_WAIT, 2 * wait);
+        dialing = true;
+        int mine = ++dials;
+        Supplier<Connection> maker = () -> new PoolLink(this, mine, broker, log, counters);
+        dialer.dial(maker, () -> again(mine));
+    }
+
+    /** Dials again after a while, unless another dial, of a new address, has taken the place of this one. */
+    private void again(int mine) {
+        if (mine != dials) {
+            return;
+        }
+        dialing = true;
+        counters.add("pool-relinks");
+        timers.at(timers.now() + wait, () -> {
+            if (mine == dials) {
+                dial();
+            }
+        });
+        wait = Math.min(LONGEST_WAIT, Math.max(FIRST_WAIT, 2 * wait));
+    }
+
+    /** A link is open: it takes the place of the one before it, unless a later dial has overtaken it. */
+    boolean opened(PoolLink opened, int dial) {
+        if (dial != dials) {
+            return false;
+        }
+        dialing = false;
+        leaveFormer();
+        former = link;
+        link = opened;
+        if (former != null) {
+            broker.unlinked();
+        }
+        return true;
+    }
+
+    private void leaveFormer() {
+        if (former != null) {
+            former.close(Reason.MOVED, "");
+            former = null;
         }
     }
 
@@ -97,14 +146,17 @@
     }
 
     void bound() {
-        wait = FIRST_WAIT;
+        wait = 0;
+        leaveFormer();
     }
 
     void ended(PoolLink which) {
         if (link == which) {
             link = null;
             broker.unlinked();
-            again();
+            if (!dialing) {
+                again(dials);
+            }
         }
     }
 
--- a/src/main/java/mothwing/pool/PoolLink.java
+++ b/src/main/java/mothwing/pool/PoolLink.java
@@ -29,20 +29,26 @@
     private static final Gson GSON = new Gson();
 
     private final Pool pool;
+    private final int dial;
     private final Broker broker;
     private final Log log;
     private boolean bound;
 
-    PoolLink(Pool pool, Broker broker, Log log, Counters counters) {
+    PoolLink(Pool pool, int dial, Broker broker, Log log, Counters counters) {
         super("pool", MOST_LINE, log, counters);
         this.pool = pool;
+        this.dial = dial;
         this.broker = broker;
         this.log = log;
     }
 
     @Override
     protected void opened() {
-        command("{\"action\":\"bind\",\"pos\":" + pool.lastNotice() + "}");
+        if (pool.opened(this, dial)) {
+            command("{\"action\":\"bind\",\"pos\":" + pool.lastNotice() + "}");
+        } else {
+            close(Reason.MOVED, "");
+        }
     }
 
     @Override
--- a/src/main/java/mothwing/server/Config.java
+++ b/src/main/java/mothwing/server/Config.java
@@ -6,6 +6,8 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import mothwing.OverloadControl.Settings;
 import mothwing.settings.BadInput;
 import mothwing.settings.Fields;
@@ -41,6 +43,50 @@
                 SettingsCodec.read(seed(all.text("seed", "0")), all.requiredInner("settings")));
     }
 
+    /**
+     * Reads a configuration's file.
+     *
+     * @param path its path
+     * @return the configuration
+     * @throws IOException where it cannot be read or understood
+     */
+    public static Config read(String path) throws IOException {
+        if (path.isEmpty()) {
+            throw new IOException("no configuration: give --config or EDGE_CONFIG");
+        }
+        try (Reader text = Files.newBufferedReader(Path.of(path))) {
+            return read(text);
+        }
+    }
+
+    /**
+     * This configuration with what a running server can take of a new one.
+     *
+     * @param now the new one
+     * @return the one in force
+     */
+    Config moved(Config now) {
+        return new Config(name, listen, now.pool, now.announce, now.stopMs, sockets, settings);
+    }
+
+    /** The fields in which a new configuration asks for what only a new start can give. */
+    String differences(Config now) {
+        List<String> all = new ArrayList<>();
+        if (!name.equals(now.name)) {
+            all.add("name");
+        }
+        if (!listen.equals(now.listen)) {
+            all.add("listen");
+        }
+        if (sockets != now.sockets) {
+            all.add("limits");
+        }
+        if (!settings.equals(now.settings)) {
+            all.add("settings");
+        }
+        return String.join(",", all);
+    }
+
     /**
      * Reads the file that says where a front listens.
      *
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -37,7 +37,6 @@
     private static final int PAGE = 8192;
     private static final int CHUNK_ORDER = 5; // chunks of 256 KiB
 
-    private final Config config;
     private final InetSocketAddress ajp;
     private final Log log;
     private final Counters counters = new Counters();
@@ -51,6 +50,7 @@
     private final Pool pool;
     private final Broker broker;
     private final Announcer announcer;
+    private Config config;
     private long idleSpan;
     private long stopAt;
 
@@ -65,14 +65,18 @@
         this.config = config;
         this.ajp = ajp;
         this.log = log;
-        pool = new Pool(new Dialer(loop, allocator, config.pool()), timers, counters, log);
+        pool = new Pool(dialer(config.pool()), timers, counters, log);
         broker = new Broker(config.settings(), Brain::new, pool, timers, counters, log);
-        announcer = new Announcer(new Dialer(loop, allocator, config.announce()), config.name(),
+        announcer = new Announcer(dialer(config.announce()), config.name(),
                 () -> !broker.draining(), timers, counters, log);
         idleSpan = config.settings().signals().idle();
         broker.trimWith(span -> idleSpan = span);
     }
 
+    private Dialer dialer(InetSocketAddress to) {
+        return new Dialer(loop, allocator, to);
+    }
+
     /**
      * Starts: listens, links to the pool, reports.
      *
@@ -102,6 +106,27 @@
         listeners.add(listener);
     }
 
+    /**
+     * Takes what a running server can take of a new configuration: where the pool and the announce service are,
+     * and the time to leave. Requests and runs go on. May come from any thread, and more than once.
+     *
+     * @param now the new configuration
+     */
+    public void reload(Config now) {
+        loop.execute(() -> {
+            Config before = config;
+            config = before.moved(now);
+            log.line("reload pool=" + config.pool() + " announce=" + config.announce() + " stop_ms="
+                    + config.stopMs() + (config.equals(now) ? "" : " needs-restart=" + config.differences(now)));
+            if (!config.pool().equals(before.pool())) {
+                pool.moved(dialer(config.pool()));
+            }
+            if (!config.announce().equals(before.announce())) {
+                announcer.moved(dialer(config.announce()));
+            }
+        });
+    }
+
     private void trim() {
         timers.at(timers.now() + TRIM_PERIOD, this::trim);
         if (idleSpan > 0) {
--- a/src/test/java/mothwing/cli/CommandsTest.java
+++ b/src/test/java/mothwing/cli/CommandsTest.java
@@ -79,23 +79,46 @@
         assertEquals(2, run("serve", "--config", folder.resolve("none").toString()));
     }
 
-    /** The whole process: it takes the signal as the notice to leave, and ends well with its counts. */
+    private Process serve(String file) throws IOException {
+        return new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "mothwing.Main", "serve", "--config", file,
+                "--ajp", Files.writeString(folder.resolve("ajp.json"), "{\"listen\":\"127.0.0.1:0\"}").toString())
+                .redirectErrorStream(true).start();
+    }
+
+    private static void awaitLine(BufferedReader log, String part) throws IOException {
+        String line = "";
+        while (!line.contains(part)) {
+            line = log.readLine();
+            assertNotNull(line, "it ended before " + part);
+            assertFalse(line.contains("ajp=off") || line.contains("fault"), line);
+        }
+    }
+
+    private static String serving(StandInPool pool) {
+        return CONFIG.replace("127.0.0.1:9090", "127.0.0.1:0")
+                .replace("127.0.0.1:4400", "127.0.0.1:" + pool.address().getPort());
+    }
+
+    /**
+     * The whole process: SIGHUP moves it to a new pool and a broken file changes nothing (the runtime's default
+     * would end it), and it takes SIGTERM as the notice to leave and ends well with its counts.
+     */
     @Test
-    void servesUntilItIsToldToLeave() throws Exception {
-        try (StandInPool pool = new StandInPool(1)) {
-            String address = "127.0.0.1:" + pool.address().getPort();
-            String file = config(CONFIG.replace("127.0.0.1:9090", "127.0.0.1:0").replace("127.0.0.1:4400", address));
-            Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-cp", System.getProperty("java.class.path"), "mothwing.Main", "serve", "--config", file,
-                    "--ajp", Files.writeString(folder.resolve("ajp.json"), "{\"listen\":\"127.0.0.1:0\"}").toString())
-                    .redirectErrorStream(true).start();
+    void servesThroughNewConfigurationsUntilItIsToldToLeave() throws Exception {
+        try (StandInPool pool = new StandInPool(1); StandInPool next = new StandInPool(1)) {
+            Process process = serve(config(serving(pool)));
             try (BufferedReader log = process.inputReader()) {
-                String line = "";
-                while (!line.contains(" ready ")) {
-                    line = log.readLine();
-                    assertNotNull(line, "it ended before it was ready");
-                    assertFalse(line.contains("ajp=off"), line);
-                }
+                awaitLine(log, " ready ");
+                String[] hangup = {"kill", "-HUP", Long.toString(process.pid())};
+                config("{'name':");
+                assertEquals(0, new ProcessBuilder(hangup).start().waitFor());
+                awaitLine(log, " reload-failed ");
+                config(serving(next).replace("'Cores':6", "'Cores':7"));
+                assertEquals(0, new ProcessBuilder(hangup).start().waitFor());
+                awaitLine(log, " needs-restart=settings");
+                next.awaitLink();
+                awaitLine(log, " reason=moved ");
                 process.toHandle().destroy(); // the signal alone: Process.destroy would close the log as well
                 List<String> rest = log.lines().toList();
                 assertEquals(0, process.waitFor(), rest::toString);
--- a/src/test/java/mothwing/pool/PoolTest.java
+++ b/src/test/java/mothwing/pool/PoolTest.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import mothwing.broker.Arrival;
 import mothwing.broker.Caller;
 import mothwing.net.Connection;
@@ -35,6 +36,9 @@
     private Stand stand;
     private Pool pool;
     private EmbeddedChannel channel;
+    private List<EmbeddedChannel> channels;
+    private int refusing;
+    private Supplier<? extends Connection> late;
     private List<String> notices;
     private Set<String> running;
     private Map<String, Integer> runs;
@@ -49,17 +53,34 @@
         runs = new HashMap<>();
         answers = new HashMap<>();
         made = 0;
+        channels = new ArrayList<>();
+        refusing = 0;
+        late = null;
         stand = new Stand(of -> {
-            pool = new Pool((maker, failed) -> {
-                Connection link = maker.get();
-                taken = false;
-                channel = stand.open(link);
-            }, of, of.counters, of.lines::add);
+            pool = new Pool(this::dial, of, of.counters, of.lines::add);
             return pool;
         });
         pool.link(stand.broker);
     }
 
+    private void dial(Supplier<? extends Connection> maker, Runnable failed) {
+        if (refusing > 0) {
+            refusing--;
+            failed.run();
+            return;
+        }
+        Connection link = maker.get();
+        taken = false;
+        channel = stand.open(link);
+        channels.add(channel);
+    }
+
+    /** The pool moves: its new address refuses the first so many dials. */
+    private void move(int refuses) {
+        refusing = refuses;
+        pool.moved(this::dial);
+    }
+
     /** The pool reads all commands on the link, and answers them. */
     private void turn() {
         channel.runPendingTasks();
@@ -148,7 +169,13 @@
                         .ifPresent(id -> end(id, step % 3 == 0 ? "crashed" : "done"));
                 case 6 -> notice("\"chatter\",\"code\":\"all is well\"");
                 case 7 -> channel.close(); // what is on it and unread is lost
-                case 8 -> say("no notice".repeat(step % 2));
+                case 8 -> {
+                    if (step % 40 == 8) {
+                        move(step % 3);
+                    } else {
+                        say("no notice".repeat(step % 2));
+                    }
+                }
                 default -> stand.pass(step * 3L);
             }
             stand.pass(step % 9_000);
@@ -164,6 +191,7 @@
         assertEquals(0, stand.broker.owed());
         assertEquals(0, stand.counters.get("pool-notices-missed"));
         assertEquals(0, stand.counters.get("overdue"));
+        channels.stream().filter(one -> one != channel).forEach(one -> assertFalse(one.isOpen()));
         runs.forEach((id, times) -> assertEquals(1, times, id + " ran twice"));
     }
 
@@ -183,6 +211,21 @@
         assertEquals("served", answers.get(Stand.id(1)));
     }
 
+    /** Guards against a link to an address that the pool has left taking the place of the right one. */
+    @Example
+    void aDialThatANewAddressOvertakesComesToNothing() {
+        turn();
+        pool.moved((maker, failed) -> late = maker);
+        move(0);
+        turn();
+        EmbeddedChannel right = channel;
+        EmbeddedChannel overtaken = stand.open(late.get());
+        assertFalse(overtaken.isOpen());
+        assertFalse(channels.get(0).isOpen());
+        assertTrue(right.isOpen() && pool.ready());
+        assertEquals(2, stand.lines.stream().filter(line -> line.contains("reason=moved")).count());
+    }
+
     @Example
     void aLineWithoutAnEndClosesTheLink() {
         turn();
--- a/src/test/java/mothwing/server/ServerTest.java
+++ b/src/test/java/mothwing/server/ServerTest.java
@@ -31,14 +31,19 @@
     private final List<String> lines = Collections.synchronizedList(new ArrayList<>());
     private StandInPool pool;
     private Server server;
+    private double patience;
 
     private void start(StandInPool with, double patience, InetSocketAddress announce) throws IOException {
         pool = with;
-        server = new Server(new Config("n1", any(), pool.address(), announce, 3200, 256,
-                Stand.settings(patience, 2)), any(), lines::add);
+        this.patience = patience;
+        server = new Server(config(pool.address(), announce), any(), lines::add);
         server.start();
     }
 
+    private Config config(InetSocketAddress poolAt, InetSocketAddress announce) {
+        return new Config("n1", any(), poolAt, announce, 3200, 256, Stand.settings(patience, 2));
+    }
+
     private void startReady(long workMs, double patience) throws IOException {
         start(new StandInPool(workMs), patience, nobody());
         awaitPing(200);
@@ -153,6 +158,28 @@
         }
     }
 
+    /** Guards against a run that a new address of the pool loses or repeats, and against a server that stays behind. */
+    @Test
+    void aNewAddressOfThePoolLosesNoRun() throws Exception {
+        startReady(-1, 60);
+        try (Till one = till(new Gateway.FastCgi()); Till two = till(new Gateway.Ajp());
+                StandInPool.Door door = pool.door()) {
+            one.ask(1, Stand.ORDER, Stand.id(1), new byte[] {1, 2, 3});
+            pool.awaitSpawns(1);
+            for (int i = 0; i < 3; i++) { // the signal may repeat
+                server.reload(config(door.address(), nobody()));
+            }
+            awaitLine("end side=pool reason=moved");
+            two.ask(1, Stand.ORDER, Stand.id(2), new byte[] {4, 5});
+            pool.awaitSpawns(2);
+            pool.release();
+            assertArrayEquals(new byte[] {3, 2, 1}, one.answer().content());
+            assertArrayEquals(new byte[] {5, 4}, two.answer().content());
+            pool.spawns().forEach((id, times) -> assertEquals(1, times, id));
+            assertEquals(1, List.copyOf(lines).stream().filter(line -> line.contains("reason=moved")).count());
+        }
+    }
+
     @Test
     void aPoolThatComesUpLateIsWaitedFor() throws Exception {
         StandInPool late = new StandInPool(1);
--- a/src/test/java/mothwing/testing/StandInPool.java
+++ b/src/test/java/mothwing/testing/StandInPool.java
@@ -35,7 +35,31 @@
     /** Starts one; work under 0 ms ends only by {@link #release}. */
     public StandInPool(long workMs) throws IOException {
         this.workMs = workMs;
-        Thread server = new Thread(this::serve, "stand-in-pool");
+        serve(listener);
+    }
+
+    /** A further address of the pool. */
+    public record Door(ServerSocket at) implements AutoCloseable {
+        /** Where it is. */
+        public InetSocketAddress address() {
+            return (InetSocketAddress) at.getLocalSocketAddress();
+        }
+
+        @Override
+        public void close() throws IOException {
+            at.close();
+        }
+    }
+
+    /** Listens at a further address too. */
+    public Door door() throws IOException {
+        ServerSocket further = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+        serve(further);
+        return new Door(further);
+    }
+
+    private void serve(ServerSocket at) {
+        Thread server = new Thread(() -> accept(at), "stand-in-pool");
         server.setDaemon(true);
         server.start();
     }
@@ -45,9 +69,9 @@
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
-    private void serve() {
-        while (!listener.isClosed()) {
-            try (Socket socket = listener.accept();
+    private void accept(ServerSocket at) {
+        while (!at.isClosed()) {
+            try (Socket socket = at.accept();
                     BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()))) {
                 String line;
                 while ((line = in.readLine()) != null) {
