Report every second whatever is answered: an unanswered report leaves its connection

Cause: ReportLink.report returned without a report while one was unanswered, for up to three periods (MOST_MISSED): with the period of 1 s the age of the last report reached 4 s, and an entry lapses at 3 s. Ruled out: refused or slow dials (no `announce-unreached`), a late timer (the log shows `no-answer` 10.2 s after the connection's first report, each time one lapse before it).

--- a/src/main/java/mothwing/announce/Announcer.java
+++ b/src/main/java/mothwing/announce/Announcer.java
@@ -7,7 +7,11 @@
 import mothwing.net.Dial;
 import mothwing.net.Reason;
 
-/** Keeps this shop server listed: a report every second, over a connection that is opened again when it breaks. */
+/**
+ * Keeps this shop server listed: a report every second, over a connection that is opened again when it breaks. A
+ * report that gets no answer within its second is left behind with its connection, and the next one leaves on a new
+ * one: to wait for the answer would let the entry lapse.
+ */
 public final class Announcer {
     static final long PERIOD = 1_000_000;
 
@@ -51,6 +55,10 @@
     }
 
     private void report() {
+        if (link != null && link.waiting()) {
+            counters.add("announce-unanswered");
+            leave(Reason.NO_ANSWER);
+        }
         if (link != null) {
             link.report(accepting.getAsBoolean());
         } else if (!dialing) {
@@ -58,6 +66,13 @@
         }
     }
 
+    private void leave(Reason why) {
+        if (link != null) {
+            link.close(why, "");
+            link = null;
+        }
+    }
+
     private void dial() {
         dialing = true;
         int mine = ++dials;
@@ -76,10 +91,7 @@
      */
     public void moved(Dial elsewhere) {
         dialer = elsewhere;
-        if (link != null) {
-            link.close(Reason.MOVED, "");
-            link = null;
-        }
+        leave(Reason.MOVED);
         if (!stopped) {
             dial();
         }
@@ -88,9 +100,7 @@
     /** Reports no more: this shop server is taken off the list. */
     public void stop() {
         stopped = true;
-        if (link != null) {
-            link.close(Reason.DRAIN, "");
-        }
+        leave(Reason.DRAIN);
     }
 
     /** A connection is open: the next report leaves on it, unless it comes too late. */
--- a/src/main/java/mothwing/announce/ReportLink.java
+++ b/src/main/java/mothwing/announce/ReportLink.java
@@ -15,12 +15,11 @@
 
     private static final String END_OF_HEAD = "\r\n\r\n";
     private static final int NO_CONTENT = 204;
-    private static final int MOST_MISSED = 3; // periods without an answer, after which the link is opened anew
 
     private final Announcer announcer;
     private final int dial;
     private final String name;
-    private int waiting;
+    private boolean waiting;
 
     ReportLink(Announcer announcer, int dial, String name, Log log, Counters counters) {
         super("announce", MOST_ANSWER, log, counters);
@@ -39,17 +38,13 @@
         announcer.ended(this);
     }
 
-    /** Reports, unless the last report is still unanswered. */
+    /** Whether the last report is still unanswered. */
+    boolean waiting() {
+        return waiting;
+    }
+
     void report(boolean accepting) {
-        if (waiting > 0) {
-            waiting++;
-            if (waiting > MOST_MISSED) {
-                announcer.ended(this);
-                close(Reason.NO_ANSWER, "");
-            }
-            return;
-        }
-        waiting = 1;
+        waiting = true;
         String body = "{\"accepting\":\"" + accepting + "\"}";
         String call = "PUT /announce/" + name + " HTTP/1.1\r\nHost: announce\r\nContent-Type: application/json\r\n"
                 + "Content-Length: " + body.length() + END_OF_HEAD + body;
@@ -85,7 +80,7 @@
             return false;
         }
         in.skipBytes(Math.min(whole, text.length()));
-        waiting = 0;
+        waiting = false;
         count("answered-" + (status == NO_CONTENT ? "" + NO_CONTENT : "other"));
         if (closes) {
             announcer.ended(this);
