End bad clients within 2 s, answer the oversized at once, let strangers make room

A trace of what they send and get (hex of the first pieces of every connection, on a copy) showed who they are: 5 MB and 60 MB bodies with no answer until their end (50 of them gave up), half requests, a record of an unknown type or role and then silence, and Client-No, Project and figures that no gateway sends. Gateways and bad clients share addresses, so those tell nothing. Lines at fault: Listener.HALF_READ (10 s) and Connection.halfReadSince counted from the last byte; FastCgiConnection kept `bad` until the end of STDIN and gathered records of 64 KB; Listener.accept turned the newcomer away; Arrival took NaN-like words that Java reads, and Broker.read an unknown tenant.

Ruled out: telling them apart by address.

--- a/src/main/java/mothwing/ajp/AjpConnection.java
+++ b/src/main/java/mothwing/ajp/AjpConnection.java
@@ -37,6 +37,7 @@
     /** The request that is open: its body is still to come, or its answer. */
     private final class Asked extends Reply {
         private final Arrival.Fields fields = new Arrival.Fields();
+        private final long begunAt = now();
         private String path;
         private String query = "";
         private long length = UNTOLD;
@@ -121,6 +122,7 @@
         void ready() {
             reading = false;
             count("requests");
+            introduce();
             whole(path, query, fields, body);
         }
     }
@@ -131,8 +133,8 @@
     }
 
     @Override
-    protected boolean halfRead() {
-        return open != null && open.reading;
+    protected long halfReadSince() {
+        return open != null && open.reading ? open.begunAt : NEVER;
     }
 
     @Override
@@ -169,6 +171,7 @@
         switch (code) {
             case Ajp.CPING -> {
                 count("cpings");
+                introduce();
                 ByteBuf out = room(Ajp.HEAD + 1);
                 Ajp.cpong(out);
                 send(out);
--- a/src/main/java/mothwing/broker/Arrival.java
+++ b/src/main/java/mothwing/broker/Arrival.java
@@ -21,6 +21,9 @@
     public static final int MOST_BODY = 2048;
 
     private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
+    private static final Pattern WHOLE = Pattern.compile("[0-9]{1,15}");
+    // Not all that Java takes for a number: it would also read 12f, 0x1p3 and words for what is none.
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,20})?([eE][-+]?[0-9]{1,2})?");
     private static final double MOST_RESERVE = 2000;
 
     /** A request whose fields cannot be understood; the message is its reason code. */
@@ -36,6 +39,7 @@
     public static final class Fields {
         private String id = "";
         private String accepted = "";
+        private String caller = "0";
         private String tenant = "";
         private String reserve = "";
         private String rank = "";
@@ -51,6 +55,7 @@
             switch (name.toLowerCase(Locale.ROOT)) {
                 case "trace-id" -> id = value;
                 case "accepted-at-ms" -> accepted = value;
+                case "client-no" -> caller = value;
                 case "project" -> tenant = value;
                 case "reserve-kb" -> reserve = value;
                 case "standing" -> rank = value;
@@ -74,28 +79,29 @@
             if (!ID.matcher(id).matches()) {
                 throw new Bad("bad-trace-id");
             }
+            if (!WHOLE.matcher(accepted).matches()) {
+                throw new Bad("bad-accepted-at-ms");
+            }
+            if (!WHOLE.matcher(caller).matches()) {
+                throw new Bad("bad-client-no");
+            }
             double kb = number(reserve, "bad-reserve-kb");
             double standing = number(rank, "bad-standing");
-            double at = number(accepted, "bad-accepted-at-ms");
             if (!(kb > 0 && kb < MOST_RESERVE)) {
                 throw new Bad("bad-reserve-kb");
             }
-            if (!(standing >= 0 && standing < 1)) {
+            if (!(standing < 1)) {
                 throw new Bad("bad-standing");
             }
-            if (!(at >= 0 && at < Long.MAX_VALUE / 2e3)) {
-                throw new Bad("bad-accepted-at-ms");
-            }
-            return new Arrival(id, (long) at, tenant, path.substring("/call/".length()), kb,
+            return new Arrival(id, Long.parseLong(accepted), tenant, path.substring("/call/".length()), kb,
                     standing, subject, body);
         }
 
         private static double number(String text, String code) throws Bad {
-            try {
-                return Double.parseDouble(text);
-            } catch (NumberFormatException notOne) {
+            if (!NUMBER.matcher(text).matches()) {
                 throw new Bad(code);
             }
+            return Double.parseDouble(text);
         }
     }
 }
--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -34,6 +34,7 @@
     private static final long MILLI = 1000;
     private static final long GAUGES_WAIT = 500 * MILLI; // over a stall of the machine, which holds timers off
     private static final long CHECK_WAIT = 2000 * MILLI;
+    private static final long MOST_AHEAD = 1000; // milliseconds that a gateway's clock may be ahead of ours
     private static final long WATCH = 20 * MILLI; // between looks at due times
     private static final long LOST = 10_000 * MILLI; // past its due time a stopped run has ended, or never began
 
@@ -131,6 +132,10 @@
         Exchange exchange = new Exchange(arrival, caller, repeatable, now - unread, now - unread + deadline);
         if (place == null) {
             fail(exchange, "unknown-class");
+        } else if (!tenants.isEmpty() && !tenants.containsKey(arrival.tenant())) {
+            fail(exchange, "unknown-tenant");
+        } else if (arrival.acceptedAtMs() > timers.wallMs() + MOST_AHEAD) {
+            fail(exchange, "accepted-in-future");
         } else if (open.containsKey(arrival.id())) {
             fail(exchange, "repeated-trace-id");
         } else if (controller == null) {
--- a/src/main/java/mothwing/fastcgi/FastCgiConnection.java
+++ b/src/main/java/mothwing/fastcgi/FastCgiConnection.java
@@ -25,11 +25,14 @@
     /** Most bytes of the parameters of one request. */
     static final int MOST_PARAMS = 8 << 10;
 
-    private static final int MOST_RECORD = FastCgi.HEADER + 0xFFFF + 0xFF;
+    private static final int MOST_RECORD = FastCgi.HEADER + MOST_PARAMS + 0xFF; // a larger one is not gathered
+    private static final int MOST_PASSED_OVER = 128 << 10; // bytes since the last whole request
     private static final byte[] NOTHING = new byte[0];
 
     private final Broker broker;
     private final Map<Integer, Asked> open = new HashMap<>();
+    private int skip;
+    private int passedOver;
 
     /**
      * Makes the state of a new connection.
@@ -47,11 +50,11 @@
     private final class Asked extends Reply {
         private final int id;
         private final boolean keep;
+        private final long begunAt = now();
         private byte[] params = NOTHING;
         private byte[] body = NOTHING;
         private boolean paramsWhole;
         private boolean read;
-        private String bad;
 
         Asked(int id, boolean keep) {
             super(broker);
@@ -86,8 +89,10 @@
         /** The last byte of the request is there. */
         void whole() {
             count("requests");
-            if (bad != null || !paramsWhole) {
-                reject(bad != null ? bad : "params-not-ended");
+            introduce();
+            passedOver = 0;
+            if (!paramsWhole) {
+                reject("params-not-ended");
                 return;
             }
             Arrival.Fields fields = new Arrival.Fields();
@@ -110,6 +115,11 @@
             whole(of[0], of[1], fields, body);
         }
 
+        /** A part of it is larger than may be. */
+        void oversized(String part) {
+            reject("oversized-" + part);
+        }
+
         /** The gateway has stopped waiting. The answer that lets it use the number again does no harm. */
         void abort() {
             count("aborted");
@@ -124,12 +134,17 @@
     }
 
     @Override
-    protected boolean halfRead() {
-        return open.values().stream().anyMatch(one -> !one.read);
+    protected long halfReadSince() {
+        return open.values().stream().filter(one -> !one.read).mapToLong(one -> one.begunAt).min().orElse(NEVER);
     }
 
     @Override
     protected boolean take(ByteBuf in) throws Malformed {
+        if (skip > 0) {
+            int part = Math.min(skip, in.readableBytes());
+            in.skipBytes(part);
+            skip -= part;
+        }
         if (in.readableBytes() < FastCgi.HEADER) {
             return false;
         }
@@ -137,13 +152,42 @@
         if (in.getByte(at) != FastCgi.VERSION) {
             throw new Malformed(Reason.MALFORMED, "version " + in.getUnsignedByte(at));
         }
+        int type = in.getUnsignedByte(at + 1);
+        int id = in.getUnsignedShort(at + 2);
         int length = in.getUnsignedShort(at + 4);
-        int padding = in.getUnsignedByte(at + 6);
-        if (in.readableBytes() < FastCgi.HEADER + length + padding) {
+        int whole = FastCgi.HEADER + length + in.getUnsignedByte(at + 6);
+        if (passOver(type, open.get(id), length)) {
+            passedOver += whole;
+            if (passedOver > MOST_PASSED_OVER) {
+                throw new Malformed(Reason.OVERSIZED, "over " + MOST_PASSED_OVER + " bytes that no request takes");
+            }
+            skip = whole;
+            return true;
+        }
+        if (in.readableBytes() < whole) {
+            return false;
+        }
+        record(type, id, in.slice(at + FastCgi.HEADER, length));
+        in.skipBytes(whole);
+        return true;
+    }
+
+    /**
+     * Whether a record's content is of no use: that of a request which is answered, or which it makes too large.
+     * The latter is answered now, at the head of the record: the end may never come, or 60 MB later.
+     */
+    private boolean passOver(int type, Asked asked, int length) {
+        if (type != FastCgi.PARAMS && type != FastCgi.STDIN) {
+            return length > MOST_PARAMS;
+        }
+        if (asked != null && !asked.read && type == FastCgi.PARAMS && asked.params.length + length > MOST_PARAMS) {
+            asked.oversized("params");
+        } else if (asked != null && !asked.read && type == FastCgi.STDIN
+                && asked.body.length + length > Arrival.MOST_BODY) {
+            asked.oversized("body");
+        } else if (asked != null) {
             return false;
         }
-        record(in.getUnsignedByte(at + 1), in.getUnsignedShort(at + 2), in.slice(at + FastCgi.HEADER, length));
-        in.skipBytes(FastCgi.HEADER + length + padding);
         return true;
     }
 
@@ -169,6 +213,7 @@
     private void management(int type, ByteBuf content) throws Malformed {
         ByteBuf out = room(128);
         if (type == FastCgi.GET_VALUES) {
+            introduce();
             ByteBuf pairs = room(96);
             FastCgi.pairs(content, (name, value) -> {
                 switch (name) {
@@ -211,8 +256,6 @@
         }
         if (!content.isReadable()) {
             asked.paramsWhole = true;
-        } else if (asked.params.length + content.readableBytes() > MOST_PARAMS) {
-            asked.bad = "oversized-params";
         } else {
             asked.params = joined(asked.params, content);
         }
@@ -223,11 +266,7 @@
             return;
         }
         if (content.isReadable()) {
-            if (asked.body.length + content.readableBytes() > Arrival.MOST_BODY) {
-                asked.bad = "oversized-body";
-            } else {
-                asked.body = joined(asked.body, content);
-            }
+            asked.body = joined(asked.body, content);
         } else {
             asked.read = true;
             asked.whole();
--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -14,6 +14,9 @@
  * to bounds, stops reading while the other side does not read, and leaves one line in the log when it ends.
  */
 public abstract class Connection extends ChannelInboundHandlerAdapter {
+    /** A time that never comes. */
+    protected static final long NEVER = Long.MAX_VALUE;
+
     private final String side;
     private final int mostGathered;
     private final Log log;
@@ -28,7 +31,10 @@
     private long bytesOut;
     private long pieces;
     private Timers clock;
-    private long halfReadSince = Long.MAX_VALUE;
+    private long openedAt;
+    private long pieceSince = NEVER;
+    private long deafSince = NEVER;
+    private boolean introduced;
 
     /**
      * Makes the state of a connection.
@@ -71,23 +77,50 @@
     }
 
     /**
-     * Whether a request on it was begun and is not read whole yet.
+     * Since when a request on it was begun and is not read whole yet; the oldest counts, and a further byte of it
+     * changes nothing, so that a drip comes to an end.
      *
-     * @return true if so
+     * @return a time of {@link #now}, or {@link #NEVER} where there is none
      */
-    protected boolean halfRead() {
-        return false;
+    protected long halfReadSince() {
+        return NEVER;
     }
 
-    /** Tells the time to a connection that is watched for requests that stay half read. */
+    /** Tells the time to a connection that is watched. */
     final void clock(Timers time) {
         clock = time;
-        halfReadSince = Long.MAX_VALUE;
+        openedAt = time.now();
     }
 
-    /** Since when it has had half a request without a further byte; in the far future where it has none. */
-    final long halfReadSince() {
-        return halfReadSince;
+    /**
+     * The clock.
+     *
+     * @return microseconds, or 0 where the connection is not watched
+     */
+    protected final long now() {
+        return clock == null ? 0 : clock.now();
+    }
+
+    /** Marks it as that of a party that speaks the protocol: a whole request was read. */
+    protected final void introduce() {
+        introduced = true;
+    }
+
+    /** Whether no whole request was ever read on it. */
+    final boolean stranger() {
+        return !introduced;
+    }
+
+    /** Why it may not stay as it is, or null where it may. */
+    final Reason overstays(long now, long patience) {
+        if (deafSince < now - patience) {
+            return Reason.NOT_READ;
+        } else if (closing) {
+            return null;
+        } else if (Math.min(pieceSince, halfReadSince()) < now - patience) {
+            return Reason.HALF_SENT;
+        }
+        return stranger() && openedAt < now - patience ? Reason.SILENT : null;
     }
 
     /**
@@ -136,6 +169,7 @@
         closing = true;
         reason = why;
         detail = what;
+        deafSince = Math.min(deafSince, now());
         context.channel().config().setAutoRead(false);
         context.writeAndFlush(context.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
     }
@@ -165,9 +199,11 @@
         } else {
             gathered = joined(ctx, gathered, came);
         }
+        pieceSince = Math.min(pieceSince, now());
         try {
             while (!closed() && take(gathered)) {
                 pieces++;
+                pieceSince = now();
             }
             if (!closed() && gathered.readableBytes() > mostGathered) {
                 throw new Malformed(Reason.OVERSIZED, "over " + mostGathered + " bytes without an end");
@@ -181,8 +217,8 @@
         if (gathered != null && (!gathered.isReadable() || closed())) {
             drop();
         }
-        if (clock != null) {
-            halfReadSince = gathered != null || halfRead() ? clock.now() : Long.MAX_VALUE;
+        if (gathered == null) {
+            pieceSince = NEVER;
         }
     }
 
@@ -202,9 +238,20 @@
     /** Answers that the other side does not read stay bounded: nothing more is read from it until it does. */
     @Override
     public final void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        boolean reads = ctx.channel().isWritable();
+        deafSince = reads ? NEVER : Math.min(deafSince, now());
+        if (!closing) {
+            ctx.channel().config().setAutoRead(reads);
+        }
+    }
+
+    /** Closes it without waiting for what was sent to leave. */
+    final void cut(Reason why) {
         if (!closing) {
-            ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+            closing = true;
+            reason = why;
         }
+        context.close();
     }
 
     private void fault(Throwable broken) {
--- a/src/main/java/mothwing/net/Listener.java
+++ b/src/main/java/mothwing/net/Listener.java
@@ -21,7 +21,8 @@
 
 /**
  * Accepts the connections of one front: no more than a bound, the idle ones closed after a span, and those with
- * nothing open closed once the process is leaving.
+ * nothing open closed once the process is leaving. At the bound a new connection takes the place of one on which
+ * nothing is open: of a stranger, which never asked anything whole, before that of a gateway.
  */
 public final class Listener {
     private static final int BACKLOG = 512;
@@ -30,7 +31,7 @@
     private static final int LEAST_READ = 512;
     private static final int FIRST_READ = 2048;
     private static final int MOST_READ = 8192;
-    private static final long HALF_READ = 10_000_000; // far beyond every due time of a class
+    private static final long PATIENCE = 2_000_000; // bad clients are owed an end within 3 s; a pause is shorter
 
     private final Supplier<? extends Connection> maker;
     private final int most;
@@ -85,6 +86,9 @@
     }
 
     private void accept(SocketChannel accepted) {
+        if (idleSince.size() >= most) {
+            makeRoom();
+        }
         if (idleSince.size() >= most) {
             counters.add(side + "-over-bound");
             accepted.close();
@@ -96,7 +100,29 @@
         accepted.pipeline().addLast(connection);
     }
 
-    /** Watches a new connection for being idle, and for half a request. */
+    /**
+     * Closes whom it harms least: the oldest stranger, else the gateway that has been idle for longest. A stranger
+     * may be a gateway whose first request is on its way, so the newest is taken last.
+     */
+    void makeRoom() {
+        Connection least = null;
+        for (Map.Entry<Connection, Long> one : idleSince.entrySet()) {
+            Connection connection = one.getKey();
+            if (connection.closed()) {
+                continue;
+            } else if (connection.stranger()) {
+                least = connection;
+                break; // they stand in the order in which they came
+            } else if (connection.idle() && (least == null || one.getValue() < idleSince.get(least))) {
+                least = connection;
+            }
+        }
+        if (least != null) {
+            least.close(Reason.EVICTED, "");
+        }
+    }
+
+    /** Watches a new connection for being idle, silent, or in the middle of a request. */
     void watch(Connection connection) {
         connection.clock(timers);
         idleSince.put(connection, timers.now());
@@ -121,8 +147,8 @@
     }
 
     /**
-     * Closes what was idle for longer than a span, and what has kept half a request for long: it would hold its
-     * place for ever.
+     * Closes what was idle for longer than a span, and who says nothing, stops in the middle of a request or does
+     * not read: each would hold its place for ever.
      *
      * @param span microseconds; 0 closes all that has nothing open
      * @param why the reason
@@ -130,12 +156,16 @@
     public void trim(long span, Reason why) {
         long now = timers.now();
         for (Map.Entry<Connection, Long> one : new ArrayList<>(idleSince.entrySet())) {
-            if (one.getKey().halfReadSince() < now - HALF_READ) {
-                one.getKey().close(Reason.NO_ANSWER, "half a request");
-            } else if (!one.getKey().idle()) {
+            Connection connection = one.getKey();
+            Reason bad = connection.overstays(now, PATIENCE);
+            if (bad == Reason.NOT_READ) {
+                connection.cut(bad);
+            } else if (bad != null) {
+                connection.close(bad, "");
+            } else if (!connection.idle()) {
                 one.setValue(now);
             } else if (now - one.getValue() >= span) {
-                one.getKey().close(why, "");
+                connection.close(why, "");
             }
         }
     }
--- a/src/main/java/mothwing/net/Reason.java
+++ b/src/main/java/mothwing/net/Reason.java
@@ -22,8 +22,16 @@
     ASKED,
     /** The party is reached at another address now, or by a newer connection. */
     MOVED,
-    /** An answer, or the rest of a request, did not come in time. */
+    /** An answer did not come in time. */
     NO_ANSWER,
+    /** The rest of a request did not come in time. */
+    HALF_SENT,
+    /** Nothing whole was asked on it in time after it was opened. */
+    SILENT,
+    /** What was sent to it was not read in time. */
+    NOT_READ,
+    /** Its place was needed for a new connection, and nothing was open on it. */
+    EVICTED,
     /** A fault of this program; the line before it has the details. */
     FAULT;
 
--- a/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
+++ b/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import mothwing.testing.FrontModel;
@@ -73,11 +74,19 @@
         assertEquals(413, status(model.gateway.request(1, "/call/" + Stand.LOOK, "", good, new byte[2049])));
         assertEquals(500, status(model.gateway.request(1, "/call/nothing", "", good, new byte[0])));
         assertEquals(400, status(model.gateway.request(1, "/elsewhere", "", good, new byte[0])));
-        for (String name : List.of("Trace-Id", "Accepted-At-Ms", "Reserve-Kb", "Standing")) {
-            Map<String, String> bad = Gateway.fields(Stand.id(1), Stand.WALL_MS);
-            bad.put(name, "NaN");
-            assertEquals(400, status(model.gateway.request(1, "/call/" + Stand.LOOK, "", bad, new byte[0])), name);
+        for (String name : List.of("Trace-Id", "Accepted-At-Ms", "Reserve-Kb", "Standing", "Client-No")) {
+            for (String text : List.of("NaN", "-1", "", "0x1p-3", "1e400", "0.5f", " 0.5")) {
+                Map<String, String> bad = Gateway.fields(Stand.id(1), Stand.WALL_MS);
+                bad.put(name, text);
+                assertEquals(400, status(model.gateway.request(1, "/call/" + Stand.LOOK, "", bad, new byte[0])), name);
+            }
         }
+        Map<String, String> strange = Gateway.fields(Stand.id(1), Stand.WALL_MS);
+        strange.put("Project", "nobody");
+        assertEquals(500, status(model.gateway.request(1, "/call/" + Stand.LOOK, "", strange, new byte[0])));
+        Map<String, String> early = Gateway.fields(Stand.id(1), Stand.WALL_MS + 60_000);
+        assertEquals(500, status(model.gateway.request(1, "/call/" + Stand.LOOK, "", early, new byte[0])));
+        assertEquals(Map.of(), model.stand.spawns);
         good.put("Lookup-Key", "k".repeat(9000));
         assertEquals(413, status(model.gateway.request(1, "/call/" + Stand.LOOK, "", good, new byte[0])));
         assertEquals(200, status(model.gateway.request(1, "/ping", "probe=1", Map.of(), new byte[0])));
@@ -93,6 +102,23 @@
         assertTrue(model.endedAs("too-many-open"));
     }
 
+    /** Guards against a body that is answered once it has ended, or is gathered: it may never end, or take 60 MB. */
+    @Example
+    void answersWhatIsTooLargeAtOnceAndClosesOnItsRest() {
+        byte[] all = model.gateway.request(1, "/call/" + Stand.LOOK, "", Gateway.fields(Stand.id(1), Stand.WALL_MS),
+                new byte[0]);
+        byte[] head = {1, 5, 0, 1, (byte) 0xFF, (byte) 0xFF, 0, 0};
+        model.send(Arrays.copyOf(all, all.length - 8)); // all but the end of the body
+        assertEquals(413, status(head));
+        for (int sent = 0; sent < 0xFFFF; sent += 15) {
+            model.send(new byte[15]);
+            assertTrue(model.channel.isOpen());
+        }
+        model.send(head);
+        assertTrue(model.endedAs("oversized"));
+        assertEquals(Map.of(), model.stand.spawns);
+    }
+
     @Example
     void answersQuestionsAboutItself() {
         byte[] name = "FCGI_MPXS_CONNS".getBytes();
