Judge a refused class by the others after a while; tell callers in a class of its own

Lines at fault: Brain.reachable and stretched, through pace[], which only a good run of that class could correct; and usualBusy, which remembers busy cores for 3 s. Ruled out: the ladder (filter 0 throughout), tokens, quotas, memory, the pool link (20 ms), CPU of this process.

Now a class without a run for two aims fades to the time of all classes within one aim, and the chances that idle cores take look at the busy gauge of now too.

--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -11,7 +11,6 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import mothwing.OverloadControl.Controller;
-import mothwing.OverloadControl.FreeValue;
 import mothwing.OverloadControl.Halting;
 import mothwing.OverloadControl.Host;
 import mothwing.OverloadControl.Outcome;
@@ -50,6 +49,7 @@
     private static final double VOLUME = 1.5; // seconds of rate in a full bucket (V): about one aim
     private static final double MINIMUM = 0.1; // share of a filter's rate split evenly before the weights
     private static final double LEARN = 0.1; // weight of one run in learned core times: some ten runs
+    private static final int STALE = 2; // aims of a class without a run: what is refused teaches nothing
     private static final double STRAIN_SECONDS = 3; // over which the cost of work now is taken: ten runs
     private static final double STRAIN_PRIOR = 0.5; // seconds a core at the usual cost, against odd runs
     private static final double STRAINED = 2; // ratio to the usual cost under which it is chance
@@ -80,13 +80,6 @@
     private static final double BUSY_SECONDS = 3; // over which cores are idle or busy: some ten runs
     private static final int STALL = 3; // samples late: the process stood still, which is no evidence of load
     private static final double BEST_SECONDS = 60; // in which a best completion rate fades
-    private static final double LEAST_SHARE = 0.1; // of traffic still asked for, so that a recovery shows
-    private static final double SHARE_STEPS = 20; // count: the free value is said in twentieths
-    private static final double REFUSED_DECAY = 0.98; // a sample, of the share refused: some fifty samples
-    private static final double REUSE_SECONDS = 15; // between a caller's requests: past it idling costs more
-    private static final double STORM = 0.85; // share refused: over it handshakes cost more than full tables
-    private static final double STORM_OVER = 0.6; // share refused under which they no longer do
-    private static final long TRIM_LEAST = 10_000; // microseconds: the shortest idle span a host can keep
     private static final double SECOND = 1e6; // microseconds
     private static final String TICK = "sample"; // tag of the only timer
 
@@ -130,6 +123,7 @@
 
     private final Settings settings;
     private final Host host;
+    private final CallerSignals callers;
     private final int cores;
     private final int classes;
     private final double planned;
@@ -164,6 +158,8 @@
 
     private final double[] pace;
     private final int[] runs;
+    private final long[] learnedAt;
+    private double paceOfAll = 1;
     private double spent;
     private double done;
     private double strain = 1;
@@ -177,8 +173,6 @@
     private double best;
     private double doneWork;
     private double doneRate;
-    private double readWork;
-    private double refusedWork;
     private long lastSwitch;
     private long overSince;
     private double lag;
@@ -192,9 +186,6 @@
     private int runLimit;
     private double busy;
     private double usualBusy = 1;
-    private double said = -1;
-    private boolean trimmed;
-    private int reads;
 
     /**
      * Makes the controller of one life of one server.
@@ -205,6 +196,7 @@
     public Brain(Settings settings, Host host) {
         this.settings = settings;
         this.host = host;
+        callers = new CallerSignals(settings, host);
         cores = Math.max(1, settings.machine().cores());
         classes = settings.classes().size();
         long round = Math.max(1, settings.round());
@@ -214,6 +206,7 @@
         pace = new double[classes];
         Arrays.fill(pace, 1);
         runs = new int[classes];
+        learnedAt = new long[classes];
         tokens = new double[2 * classes];
         offered = new double[2 * classes];
         quotaTokens = new double[settings.tenants().size()];
@@ -260,10 +253,9 @@
         job.overShare = overShare(request.tenant());
         job.worth = worth(job);
         open.put(request.id(), job);
-        reads++;
         memory += request.memory();
         offered[bucket(job)] += expected(job);
-        readWork += expected(job);
+        callers.read(expected(job));
         decide(job);
     }
 
@@ -278,7 +270,7 @@
             return;
         }
         if (!takeTokens(job) || faulty(job) || !reachable(job)) {
-            refusedWork += expected(job);
+            callers.refused(expected(job));
             turnAway(job);
             return;
         }
@@ -364,9 +356,9 @@
         return job.state == State.REPLAYING ? 0 : callPace * Math.max(waiting, left);
     }
 
-    /** The time held for a run: on cores idle of late no better use waits, and chances are taken. */
+    /** The time held for a run: on cores idle now or of late no better use waits, and chances are taken. */
     private double stretched(Job job) {
-        double full = filter == 0 ? Math.min(1, usualBusy / UNDER[0]) : 1;
+        double full = filter == 0 ? Math.min(1, Math.min(busy, usualBusy) / UNDER[0]) : 1;
         return expected(job) * (CHANCE + (SPREAD - CHANCE) * full);
     }
 
@@ -595,9 +587,21 @@
         double seen = job.used / job.unit / strain;
         runs[place]++;
         pace[place] += (seen - pace[place]) * Math.max(LEARN, 1.0 / runs[place]);
+        paceOfAll += (seen - paceOfAll) * Math.max(LEARN, 1.0 / Arrays.stream(runs).sum());
+        learnedAt[place] = now;
         callsPer[place] += (job.stood - callsPer[place]) * Math.max(LEARN, 1.0 / runs[place]);
     }
 
+    /** A class that a slow stretch made look too long to run would be refused, and so not seen again. */
+    private void fadePaces(double span) {
+        for (int i = 0; i < classes; i++) {
+            double aim = settings.classes().get(i).aim();
+            if (runs[i] > 0 && now - learnedAt[i] > STALE * aim) {
+                pace[i] += (paceOfAll - pace[i]) * Math.min(1, span * SECOND / aim);
+            }
+        }
+    }
+
     /** What work costs now for its usual cost: a slow server shows in seconds, by unended runs too. */
     private void weighStrain(double span) {
         double kept = Math.max(0, 1 - span / STRAIN_SECONDS);
@@ -628,7 +632,7 @@
             job.due = Math.min(job.due, stopAt);
         }
         host.health(true, false);
-        sayShare(0);
+        callers.leave();
     }
 
     @Override
@@ -771,6 +775,7 @@
         lastSample = at;
         fill(span);
         weighStrain(span);
+        fadePaces(span);
         faults[RUNS] = Math.max(0, faults[RUNS] - FORGOTTEN * cores * span);
         faults[CALLS] = Math.max(0, faults[CALLS] - FORGOTTEN * cores * span);
         if (!stalled) {
@@ -851,20 +856,7 @@
             best = Math.min(cores, Math.max(best * (1 - span / BEST_SECONDS), doneRate));
         }
         step(index, span);
-        sayShare(share());
-        trimConnections();
-    }
-
-    /** Hundreds of callers that come seldom fill the table with idle connections, and others find no room. */
-    private void trimConnections() {
-        double rate = Math.max(2 * cores, reads * SECOND / (now - startedAt));
-        boolean storm = refusedWork > readWork * (trimmed ? STORM : STORM_OVER);
-        boolean seldom = settings.callers() > REUSE_SECONDS * rate && !storm;
-        long idle = settings.signals().idle();
-        if (idle > TRIM_LEAST && seldom != trimmed) {
-            trimmed = seldom;
-            host.trimIdle(seldom ? TRIM_LEAST : idle);
-        }
+        callers.sample(faults[RUNS] > FAULTS, now - startedAt);
     }
 
     private double gauge(double[] gauges, String name, double absent) {
@@ -969,25 +961,4 @@
         }
         runLimit = Math.max(cores, runLimit);
     }
-
-    /** What callers should bring, as a share of what they would. */
-    private double share() {
-        if (faults[RUNS] > FAULTS) {
-            return LEAST_SHARE;
-        }
-        double ratio = readWork > 0 ? refusedWork / readWork : 0;
-        readWork *= REFUSED_DECAY;
-        refusedWork *= REFUSED_DECAY;
-        return Math.max(LEAST_SHARE, Math.round((1 - ratio) * SHARE_STEPS) / SHARE_STEPS);
-    }
-
-    private void sayShare(double share) {
-        double value = draining ? 0 : share;
-        FreeValue meaning = settings.signals().freeValue();
-        if (meaning == FreeValue.NONE || meaning == FreeValue.WINDOW || value == said) {
-            return;
-        }
-        said = value;
-        host.say(meaning == FreeValue.LEVEL ? (value >= 1 ? 0 : Math.min(0.95, 1 - value)) : value);
-    }
 }
--- a/src/test/java/mothwing/BrainTest.java
+++ b/src/test/java/mothwing/BrainTest.java
@@ -442,6 +442,52 @@
         assertTrue(host.did("refuse after"), "four runs tell what work costs now");
     }
 
+    /** A host whose cores were slow for a while, so that what was learned leaves a run of SAVE no time. */
+    private static RecordingHost afterASlowStretch() {
+        RecordingHost host = host();
+        host.gauges(1, 2);
+        for (int i = 0; i < 16; i += 2) {
+            host.read(request(host, "slow" + i, SAVE), request(host, "slow" + (i + 1), SAVE));
+            host.passUntil(host.now() + SECOND * 9 / 10);
+            host.finish("slow" + i, Outcome.GOOD);
+            host.finish("slow" + (i + 1), Outcome.GOOD);
+        }
+        return host;
+    }
+
+    /** Guards against idle cores that refuse a class for ever, as what is refused shows nothing new. */
+    @Test
+    void idleCoresTryWhatWasSlow() {
+        RecordingHost host = afterASlowStretch();
+        host.gauges(0.3, 0);
+        host.passUntil(host.now() + SECOND / 10);
+        host.read(request(host, "tried", SAVE));
+        assertTrue(host.did("start tried"), "nobody else has use for the core");
+    }
+
+    /** Guards against the same on cores that other classes keep busy, quickly again. */
+    @Test
+    void aClassThatIsRefusedIsJudgedByTheOthersAfterAWhile() {
+        RecordingHost host = afterASlowStretch();
+        String[] running = {"", ""};
+        for (int i = 0; i < 50; i++) {
+            if (i > 1) {
+                host.finish(running[i % 2], Outcome.GOOD);
+            }
+            running[i % 2] = "quick" + i;
+            host.read(request(host, running[i % 2], COMMIT));
+            host.atCall(running[i % 2]);
+            host.callEnded(running[i % 2], Outcome.GOOD);
+            if (i == 4) {
+                host.read(request(host, "early", SAVE));
+                assertTrue(host.did("refuse early"), "it is held for slow");
+            }
+            host.passUntil(host.now() + SECOND / 10);
+        }
+        host.read(request(host, "again", SAVE));
+        assertFalse(host.did("refuse again"));
+    }
+
     @Test
     void aHangingDependencyIsNeverHeldForMoreThanThisServersPart() {
         double share = 0.6;
--- a/src/test/java/mothwing/ProjectTest.java
+++ b/src/test/java/mothwing/ProjectTest.java
@@ -26,6 +26,9 @@
     void brainIsShortEnough() throws IOException {
         long lines = brain().stream().filter(line -> !line.isBlank()).count();
         assertTrue(lines <= MOST_LINES, "Brain.java has " + lines + " lines that are not blank");
+        long signals = Files.readAllLines(Path.of("src/main/java/mothwing/CallerSignals.java")).stream()
+                .filter(line -> !line.isBlank()).count();
+        assertTrue(lines + signals < 1000, "the decisions have " + (lines + signals) + " lines in all");
     }
 
     @Test
