Keep room for much better work that is to come when cheap requests are read

A trace of the state shows filter 0 and index 0 throughout: Brain.reachable counts only what is there already, so cheap requests take the cores in the gaps, and an order that comes then has no time left behind their runs. Line at fault: `SPREAD * ahead / cores` in Brain.reachable. Now the cores that much better work (twice the worth a core second, as it came over the last second) is going to take are not counted for a cheaper request.

--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -67,6 +67,9 @@
     private static final double IDLE_CORES = 0.9; // busy share under which the running limit may grow
     private static final int DUE_MARGIN = 2; // samples before a due time: a late timer and a batch fit in
     private static final int KILL_MARGIN = 8; // samples before the kill at which everything is answered
+    private static final double BETTER = 2; // ratio of worth from which work to come is kept room for
+    private static final double LEAST_CORES = 0.5; // that are left for the others whatever is to come
+    private static final double COMING_SECONDS = 1; // over which it is counted: as long as work waits at most
     private static final double QUOTA_SECONDS = 8; // of a tenant's quota: balancing is uneven over less
     private static final double QUOTA_LEEWAY = 1.3; // ratio on this server's part of a quota, for the same
     private static final int RUNS = 0; // place of the account of failed runs
@@ -182,6 +185,7 @@
 
     private final double[] tokens;
     private final double[] offered;
+    private final double[] coming;
     private final double[] quotaTokens;
     private int runLimit;
     private double busy;
@@ -209,6 +213,7 @@
         learnedAt = new long[classes];
         tokens = new double[2 * classes];
         offered = new double[2 * classes];
+        coming = new double[2 * classes];
         quotaTokens = new double[settings.tenants().size()];
         for (int i = 0; i < quotaTokens.length; i++) {
             quotaTokens[i] = quota(i) * QUOTA_SECONDS;
@@ -255,6 +260,7 @@
         open.put(request.id(), job);
         memory += request.memory();
         offered[bucket(job)] += expected(job);
+        coming[bucket(job)] += job.unit;
         callers.read(expected(job));
         decide(job);
     }
@@ -345,10 +351,24 @@
             calls += better && !other.answered ? callsLeft(other) : 0;
         }
         boolean must = job.kind.calls() && job.kind.skipWorth() == 0;
-        double wait = Math.max(SPREAD * ahead / cores, must ? calls / callFlow : 0);
+        double free = Math.max(LEAST_CORES, cores - betterToCome(job));
+        double wait = Math.max(SPREAD * ahead / free, must ? calls / callFlow : 0);
         return now + wait + callsLeft(job) + stretched(job) + margin <= usefulUntil(job);
     }
 
+    /** Cores that work of much better worth takes while a request waits: what came of late goes on. */
+    private double betterToCome(Job job) {
+        double work = 0;
+        for (int i = 0; i < coming.length; i++) {
+            RequestClass kind = settings.classes().get(i % classes);
+            double cost = pace[i % classes] * strain;
+            double value = kind.worth() * (i < classes ? 1 : settings.overShareWorth());
+            double worth = settings.worthByWork() ? value : value / (job.unit * cost);
+            work += worth > BETTER * job.worth ? coming[i] * cost : 0;
+        }
+        return work / COMING_SECONDS / SECOND;
+    }
+
     /** Call time that a request is still expected to take from the dependency. */
     private double callsLeft(Job job) {
         int waiting = job.state == State.AT_CALL || job.state == State.CALLING ? 1 : 0;
@@ -790,6 +810,7 @@
             double rate = split[i] * SECOND;
             tokens[i] = Math.min(rate * VOLUME, tokens[i] + rate * span);
             offered[i] *= 1 - span / QUOTA_SECONDS;
+            coming[i] *= Math.max(0, 1 - span / COMING_SECONDS);
         }
         for (int i = 0; i < quotaTokens.length; i++) {
             quotaTokens[i] = Math.min(quota(i) * QUOTA_SECONDS, quotaTokens[i] + quota(i) * span);
--- a/src/test/java/mothwing/BrainTest.java
+++ b/src/test/java/mothwing/BrainTest.java
@@ -488,6 +488,32 @@
         assertFalse(host.did("refuse again"));
     }
 
+    /** Guards against cores given to what is worth little while what is worth much comes and must then be refused. */
+    @Test
+    void keepsRoomForBetterWorkThatIsToCome() {
+        for (boolean rush : new boolean[] {true, false}) {
+            RecordingHost host = host();
+            host.gauges(1, 2);
+            for (int i = 0; i < 20; i++) {
+                int kind = rush ? COMMIT : SAVE;
+                host.read(request(host, "one" + i, kind), request(host, "two" + i, kind));
+                host.passUntil(host.now() + SECOND / 10);
+                for (String id : List.of("one" + i, "two" + i)) {
+                    if (rush) {
+                        host.atCall(id);
+                        host.callEnded(id, Outcome.GOOD);
+                    }
+                    host.finish(id, Outcome.GOOD);
+                }
+            }
+            for (int i = 0; i < 4; i++) {
+                host.read(request(host, "ahead" + i, SAVE));
+            }
+            host.read(request(host, "cheap", READ, null, SECOND));
+            assertEquals(rush, host.did("refuse cheap"), "rush " + rush);
+        }
+    }
+
     @Test
     void aHangingDependencyIsNeverHeldForMoreThanThisServersPart() {
         double share = 0.6;
