Let idle cores ask for all again at once; cap better work to come by the busy cores

A trace showed cores 0.08 busy from 2 s after the start on, while callers were still told to keep away for some 6 s more: the first refusals, at the first guess of a run's time, weigh ten times what is read once the time is learned, and fade over 50 samples only. And what came of orders was counted at that guess, so cheap requests were refused. Lines at fault: CallerSignals.share (REFUSED_DECAY alone), Brain.betterToCome (the guess against the gauge). Ruled out: CPU of the process (0.40 of 0.5 at most), descriptors, memory.

--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -366,7 +366,7 @@
             double worth = settings.worthByWork() ? value : value / (job.unit * cost);
             work += worth > BETTER * job.worth ? coming[i] * cost : 0;
         }
-        return work / COMING_SECONDS / SECOND;
+        return Math.min(work / COMING_SECONDS / SECOND, busy * cores); // what comes often shows on the cores
     }
 
     /** Call time that a request is still expected to take from the dependency. */
@@ -877,7 +877,7 @@
             best = Math.min(cores, Math.max(best * (1 - span / BEST_SECONDS), doneRate));
         }
         step(index, span);
-        callers.sample(faults[RUNS] > FAULTS, now - startedAt);
+        callers.sample(faults[RUNS] > FAULTS, busy < UNDER[0], now - startedAt);
     }
 
     private double gauge(double[] gauges, String name, double absent) {
--- a/src/main/java/mothwing/CallerSignals.java
+++ b/src/main/java/mothwing/CallerSignals.java
@@ -9,6 +9,7 @@
     private static final double LEAST_SHARE = 0.1; // of traffic still asked for, so that a recovery shows
     private static final double SHARE_STEPS = 20; // count: the free value is said in twentieths
     private static final double REFUSED_DECAY = 0.98; // a sample, of the share refused: some fifty samples
+    private static final double IDLE_DECAY = 0.8; // the same on idle cores, which have room for what was refused
     private static final double REUSE_SECONDS = 15; // between a caller's requests: past it idling costs more
     private static final double STORM = 0.85; // share refused: over it handshakes cost more than full tables
     private static final double STORM_OVER = 0.6; // share refused under which they no longer do
@@ -46,8 +47,9 @@
         say(0);
     }
 
-    /** Says what has changed, once a sample: whether runs fail, and how long ago this server started. */
-    void sample(boolean failing, long age) {
+    /** Says what has changed, once a sample: whether runs fail, cores idle, and how long ago this server started. */
+    void sample(boolean failing, boolean idle, long age) {
+        refusedWork *= idle ? IDLE_DECAY : 1;
         say(failing ? LEAST_SHARE : share());
         trimConnections(age);
     }
--- a/src/test/java/mothwing/BrainTest.java
+++ b/src/test/java/mothwing/BrainTest.java
@@ -514,6 +514,22 @@
         }
     }
 
+    /** Guards against callers that are kept away from idle cores by what was refused long before, at a higher cost. */
+    @Test
+    void idleCoresAskForAllAgainAtOnce() {
+        for (boolean idle : new boolean[] {true, false}) {
+            RecordingHost host = afterASlowStretch();
+            for (int i = 0; i < 20; i++) {
+                host.read(request(host, "refused" + i, SAVE, null, SECOND * 9 / 10));
+                host.passUntil(host.now() + SECOND / 100);
+            }
+            host.gauges(idle ? 0.3 : 1, 0);
+            host.passUntil(host.now() + SECOND);
+            List<String> says = host.actions.stream().filter(one -> one.startsWith("say ")).toList();
+            assertEquals(idle, says.get(says.size() - 1).equals("say 1.0"), says::toString);
+        }
+    }
+
     @Test
     void aHangingDependencyIsNeverHeldForMoreThanThisServersPart() {
         double share = 0.6;
