Write our own settings in a Starlark-like script, checked by `settings check`

Need: AJP had a JSON file of its own, and the DNS zones, keys and rights to come would have needed a second and third form. Operators name the same rooms in many places, so the form must have names, loops and files that load each other.

Change: mothwing.script is a lexer, parser and evaluator of the usual Starlark subset, bounded in steps, depth, memory and file size, without any I/O but load below the settings' folder; each error names file, line and column. settings.SiteScript offers ajp, dns, key, zone and allow, and checks them as a whole. deploy/site.star takes the place of deploy/ajp.json, whose form is still read. The help is made from the options. Netty is told its logger, as it would load the DNS library's one in serve.

--- a/src/main/java/mothwing/cli/Commands.java
+++ b/src/main/java/mothwing/cli/Commands.java
@@ -1,35 +1,64 @@
 package mothwing.cli;
 
+import static mothwing.cli.Command.option;
+
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import mothwing.adapter.Adapter;
+import mothwing.cli.Command.Streams;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.apache.commons.cli.help.TextHelpAppendable;
 
 /** The sub-commands of the command line. */
 public final class Commands {
     private static final int USAGE = 2;
-    private static final String HELP = """
-            usage: java -jar mothwing.jar COMMAND [OPTIONS]
-              serve [-c FILE] [-a FILE]   run one shop server
-                  -c, --config FILE       its configuration; else the file that EDGE_CONFIG names
-                  -a, --ajp FILE          also speak AJP/1.3 where this file says
-              adapter                     the decisions on the simulator's wire
-              counts [-s HOST:PORT]       the counters of a running shop server
-                  -s, --server HOST:PORT  where it listens for FastCGI; else as EDGE_LISTEN says
-              check [-c FILE]             say what is wrong with a configuration
-              version                     print the version
-              help                        print this
-            """;
+    private static final Map<String, Command> ALL = new LinkedHashMap<>();
+
+    static {
+        add(new Command("serve", "run one shop server",
+                (line, to) -> Serve.run(config(line), line.getOptionValue("ajp"), to.out()),
+                option("c", "config", "FILE", "its configuration; else the file that EDGE_CONFIG names"),
+                option("a", "ajp", "FILE", "also speak AJP/1.3 where this settings script (or .json) says")));
+        add(new Command("adapter", "the decisions on the simulator's wire",
+                (line, to) -> new Adapter(to.in(), to.out(), to.err()).run()));
+        add(new Command("counts", "the counters of a running shop server",
+                (line, to) -> Counts.run(line.getOptionValue("server",
+                        System.getenv().getOrDefault("EDGE_LISTEN", "")), to.out()),
+                option("s", "server", "HOST:PORT", "where it listens for FastCGI; else as EDGE_LISTEN says")));
+        add(new Command("check", "say what is wrong with a configuration",
+                (line, to) -> Serve.check(config(line), to.out()),
+                option("c", "config", "FILE", "the configuration; else the file that EDGE_CONFIG names")));
+        add(new Command("settings check", "FILE", "say what is wrong with a settings script", List.of(),
+                (line, to) -> SettingsCheck.run(Path.of(line.getArgList().get(0)), to.out())));
+        add(new Command("version", "print the version", (line, to) -> {
+            to.out().println("mothwing " + Commands.class.getPackage().getImplementationVersion());
+            return 0;
+        }));
+        add(new Command("help", "print this", (line, to) -> help(to.out())));
+    }
 
     private Commands() {
     }
 
+    private static void add(Command command) {
+        ALL.put(command.name(), command);
+    }
+
+    private static String config(CommandLine line) {
+        return line.getOptionValue("config", System.getenv().getOrDefault("EDGE_CONFIG", ""));
+    }
+
     /**
      * Runs a sub-command.
      *
@@ -37,74 +66,68 @@
      * @param in standard input
      * @param out standard output
      * @param err standard error
-     * @return the exit status
+     * @return the exit status: 0 for good, 1 for faults found, 2 for a call or an input that makes no sense
      * @throws IOException when standard input or output breaks
      * @throws InterruptedException when a wait is broken off
      */
     public static int run(String[] arguments, InputStream in, PrintStream out, PrintStream err)
             throws IOException, InterruptedException {
-        String name = arguments.length == 0 ? "" : arguments[0];
+        Command command = null;
+        int words = Math.min(2, arguments.length);
+        while (words > 0 && command == null) {
+            command = ALL.get(String.join(" ", Arrays.copyOf(arguments, words)));
+            words -= command == null ? 1 : 0;
+        }
+        if (command == null) {
+            help(err);
+            return USAGE;
+        }
         CommandLine line;
         try {
-            line = new DefaultParser().parse(options(name),
-                    Arrays.copyOfRange(arguments, Math.min(1, arguments.length), arguments.length));
-            if (!line.getArgList().isEmpty()) {
-                throw new ParseException("unexpected: " + line.getArgList().get(0));
+            Options options = new Options();
+            command.options().forEach(options::addOption);
+            line = new DefaultParser().parse(options, Arrays.copyOfRange(arguments, words, arguments.length));
+            List<String> given = line.getArgList();
+            if (given.size() > command.operandCount()) {
+                throw new ParseException("unexpected: " + given.get(command.operandCount()));
+            } else if (given.size() < command.operandCount()) {
+                throw new ParseException("expected: " + command.operands());
             }
         } catch (ParseException wrong) {
-            err.println(name + ": " + wrong.getMessage());
+            err.println(command.name() + ": " + wrong.getMessage());
             return USAGE;
         }
-        String config = line.getOptionValue("config", System.getenv().getOrDefault("EDGE_CONFIG", ""));
-        switch (name) {
-            case "serve":
-                return reported(name, err, () -> Serve.run(config, line.getOptionValue("ajp"), out));
-            case "check":
-                return reported(name, err, () -> Serve.check(config, out));
-            case "counts":
-                String server = line.getOptionValue("server", System.getenv().getOrDefault("EDGE_LISTEN", ""));
-                return reported(name, err, () -> Counts.run(server, out));
-            case "adapter":
-                return new Adapter(in, out, err).run();
-            case "version":
-                out.println("mothwing " + Commands.class.getPackage().getImplementationVersion());
-                return 0;
-            case "help":
-                out.print(HELP);
-                return 0;
-            default:
-                err.print(HELP);
-                return USAGE;
-        }
+        return reported(command, line, new Streams(in, out, err));
     }
 
-    private static Options options(String name) {
-        Options all = new Options();
-        if (name.equals("serve") || name.equals("check")) {
-            all.addOption("c", "config", true, "the configuration");
-        }
-        if (name.equals("serve")) {
-            all.addOption("a", "ajp", true, "where AJP is spoken");
-        }
-        if (name.equals("counts")) {
-            all.addOption("s", "server", true, "where the server listens");
+    private static int help(PrintStream out) throws IOException {
+        HelpFormatter formatter = HelpFormatter.builder().setHelpAppendable(new TextHelpAppendable(out))
+                .setShowSince(false).get();
+        out.println("usage: java -jar mothwing.jar COMMAND [OPTIONS]");
+        for (Command one : ALL.values()) {
+            Options options = new Options();
+            one.options().forEach(options::addOption);
+            String syntax = (one.name() + " " + formatter.toSyntaxOptions(options)).strip();
+            out.println();
+            out.println("  " + (syntax + " " + one.operands()).strip());
+            out.println("      " + one.about());
+            for (org.apache.commons.cli.Option option : one.options()) {
+                out.printf("      %-24s %s%n", (option.getOpt() == null ? "" : "-" + option.getOpt() + ", ") + "--"
+                        + option.getLongOpt() + " " + option.getArgName(), option.getDescription());
+            }
         }
-        return all;
-    }
-
-    /** Work of a sub-command. */
-    private interface Work {
-        int run() throws IOException, InterruptedException;
+        return 0;
     }
 
     /** What an operator can put right is one plain line, not a stack. */
-    private static int reported(String name, PrintStream err, Work work) throws InterruptedException {
+    private static int reported(Command command, CommandLine line, Streams streams) throws InterruptedException {
+        String name = command.name();
         try {
-            return work.run();
+            return command.work().run(line, streams);
         } catch (NoSuchFileException missing) {
-            err.println(name + ": no such file: " + missing.getMessage());
+            streams.err().println(name + ": no such file: " + missing.getMessage());
         } catch (IOException | IllegalArgumentException bad) {
-            err.println(name + ": " + bad.getMessage());
+            streams.err().println(name + ": " + bad.getMessage());
         }
         return USAGE;
     }
--- a/src/main/java/mothwing/cli/Counts.java
+++ b/src/main/java/mothwing/cli/Counts.java
@@ -7,7 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import mothwing.fastcgi.Question;
-import mothwing.server.Config;
+import mothwing.settings.Addresses;
 
 /** Asks a running shop server for its counters. */
 final class Counts {
@@ -17,7 +17,7 @@
     }
 
     static int run(String server, PrintStream out) throws IOException {
-        InetSocketAddress address = Config.address(server, "server");
+        InetSocketAddress address = Addresses.read(server, "server");
         try (Socket socket = new Socket()) {
             socket.setSoTimeout(PATIENCE_MS);
             socket.connect(address, PATIENCE_MS);
--- a/src/main/java/mothwing/cli/Serve.java
+++ b/src/main/java/mothwing/cli/Serve.java
@@ -1,5 +1,7 @@
 package mothwing.cli;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
@@ -15,6 +17,8 @@
     }
 
     static int run(String path, String ajp, PrintStream out) throws IOException, InterruptedException {
+        // Netty would look for the logging library of the DNS part first, and load it.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         CompletableFuture<Reload> started = new CompletableFuture<>();
         boolean hangups = Hangup.handle(() -> started.thenAccept(Reload::again)); // early: the default ends it
         Config config = Config.read(path);
--- a/src/main/java/mothwing/server/Config.java
+++ b/src/main/java/mothwing/server/Config.java
@@ -9,9 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import mothwing.OverloadControl.Settings;
+import mothwing.settings.Addresses;
 import mothwing.settings.BadInput;
 import mothwing.settings.Fields;
 import mothwing.settings.SettingsCodec;
+import mothwing.settings.SiteScript;
 
 /**
  * What a shop server is told.
@@ -88,13 +90,21 @@
     }
 
     /**
-     * Reads the file that says where a front listens.
+     * Reads the file that says where AJP is spoken.
      *
-     * @param file a JSON object with the field {@code listen}
+     * @param file our settings script with {@code ajp(listen = ...)}, or where its name ends with {@code .json} the
+     *     older form, a JSON object with the field {@code listen}
      * @return the address
      * @throws IOException where it cannot be read or understood
      */
     public static InetSocketAddress readListen(Path file) throws IOException {
+        if (!file.toString().endsWith(".json")) {
+            InetSocketAddress ajp = SiteScript.read(file).ajp();
+            if (ajp == null) {
+                throw new BadInput(file + ": no ajp(listen = ...)");
+            }
+            return ajp;
+        }
         try (Reader text = Files.newBufferedReader(file)) {
             return address(object(text), "listen");
         }
@@ -117,27 +127,6 @@
     }
 
     private static InetSocketAddress address(Fields all, String name) throws BadInput {
-        return address(all.text(name), name);
-    }
-
-    /**
-     * Reads an address, without asking any name service.
-     *
-     * @param text host and port
-     * @param name the field's name, for complaints
-     * @return the address
-     * @throws BadInput where it is none
-     */
-    public static InetSocketAddress address(String text, String name) throws BadInput {
-        int colon = text.lastIndexOf(':');
-        try {
-            String host = text.substring(0, Math.max(0, colon)).replace("[", "").replace("]", "");
-            if (!host.isEmpty() && host.matches("[0-9a-fA-F.:]+")) {
-                return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
-            }
-        } catch (IllegalArgumentException notOne) {
-            // falls through to the complaint
-        }
-        throw new BadInput("field " + name + ": not an address with a port");
+        return Addresses.read(all.text(name), name);
     }
 }
--- /dev/null
+++ b/src/main/java/mothwing/settings/Site.java
@@ -0,0 +1,78 @@
+package mothwing.settings;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Our own settings, as the script of an installation gives them; all paths are below the script's folder.
+ *
+ * @param ajp where AJP is spoken, or null for nowhere
+ * @param dns how DNS is served, or null for not at all
+ */
+public record Site(InetSocketAddress ajp, Dns dns) {
+    /**
+     * How DNS is served.
+     *
+     * @param listen where, over UDP and TCP
+     * @param state the folder of what must survive a restart
+     * @param limits its bounds
+     * @param keys the keys that sign updates
+     * @param zones the zones
+     */
+    public record Dns(InetSocketAddress listen, Path state, DnsLimits limits, List<Key> keys, List<Zone> zones) {
+    }
+
+    /**
+     * The bounds of the DNS front.
+     *
+     * @param udpBytes most bytes of an answer over UDP (RFC 6891 section 6.2.5), 512 to 4,096
+     * @param connections most TCP connections
+     * @param idleMs milliseconds after which an idle or dripping TCP connection is closed
+     * @param pipelined most queries open on one TCP connection (RFC 7766 section 6.2.1.1)
+     * @param responsesPerSecond most answers a second to one prefix over UDP, 0 for no such limit
+     * @param prefixes most prefixes that are watched
+     * @param cached most answers in the cache
+     * @param records most records of one zone
+     * @param journalBytes bytes of a journal past which it is compacted
+     * @param repeats most accepted updates that are remembered for their repeats
+     * @param control whether the overload controller decides
+     */
+    public record DnsLimits(int udpBytes, int connections, int idleMs, int pipelined, int responsesPerSecond,
+            int prefixes, int cached, int records, long journalBytes, int repeats, boolean control) {
+        /** What holds where the script says nothing. */
+        public static final DnsLimits USUAL = new DnsLimits(1232, 512, 10_000, 32, 0, 16_384, 8192, 2_000_000,
+                64L << 20, 65_536, true);
+    }
+
+    /**
+     * A key for TSIG (RFC 8945).
+     *
+     * @param name its name, a domain name
+     * @param algorithm its algorithm, such as hmac-sha256
+     * @param secretFile a file with its secret in base64
+     */
+    public record Key(String name, String algorithm, Path secretFile) {
+    }
+
+    /**
+     * A zone.
+     *
+     * @param name its origin
+     * @param file its zone file
+     * @param rights who may update what
+     */
+    public record Zone(String name, Path file, List<Right> rights) {
+    }
+
+    /**
+     * What the holder of a key may update.
+     *
+     * @param key the key's name
+     * @param names a name, or * and a suffix for all names below it
+     * @param types the types of records, upper case
+     */
+    public record Right(String key, String names, Set<String> types) {
+    }
+}
--- a/src/test/java/mothwing/ProjectTest.java
+++ b/src/test/java/mothwing/ProjectTest.java
@@ -58,7 +58,7 @@
         }
         assertTrue(deploy.contains("target/mothwing.jar serve"));
         assertFalse(deploy.contains("--ajp"), "AJP is off on the platform");
-        assertEquals(8009, Config.readListen(Path.of("deploy/ajp.json")).getPort());
+        assertEquals(8009, Config.readListen(Path.of("deploy/site.star")).getPort());
         assertTrue(deploy.contains("target/mothwing.jar adapter"));
         assertTrue(Files.readString(Path.of("pom.xml")).contains("<finalName>mothwing</finalName>"));
     }
--- a/src/test/java/mothwing/cli/CommandsTest.java
+++ b/src/test/java/mothwing/cli/CommandsTest.java
@@ -52,8 +52,10 @@
         assertEquals(0, run("version"));
         assertTrue(out.toString().startsWith("mothwing "));
         assertEquals(0, run("help"));
-        assertTrue(out.toString().contains("serve [-c FILE]"));
+        assertTrue(out.toString().contains("serve [-a <FILE>] [-c <FILE>]"), out::toString);
+        assertTrue(out.toString().contains("settings check FILE"), out::toString);
         for (String[] wrong : List.of(new String[0], new String[] {"drill"}, new String[] {"version", "--loud"},
+                new String[] {"settings", "check"}, new String[] {"settings", "check", "none.star"},
                 new String[] {"adapter", "more"})) {
             assertEquals(2, run(wrong));
             assertTrue(err.size() > 0 && out.size() == 0);
@@ -79,6 +81,18 @@
         assertEquals(2, run("serve", "--config", folder.resolve("none").toString()));
     }
 
+    @Test
+    void checksASettingsScript() throws Exception {
+        Path script = folder.resolve("site.star");
+        Files.writeString(script, "ajp(listen = '127.0.0.1:8009')\n");
+        assertEquals(0, run("settings", "check", script.toString()), err::toString);
+        assertEquals("good: ajp on /127.0.0.1:8009, dns off\n", out.toString());
+        assertEquals(8009, Config.readListen(script).getPort());
+        Files.writeString(script, "ajp(lisen = '127.0.0.1:8009')\n");
+        assertEquals(2, run("settings", "check", script.toString()));
+        assertEquals("settings check: site.star:1:1: ajp: argument listen is missing\n", err.toString());
+    }
+
     private Process serve(String file) throws IOException {
         return new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp", System.getProperty("java.class.path"), "mothwing.Main", "serve", "--config", file,
