--- a/src/main/java/mothwing/cli/Commands.java
+++ b/src/main/java/mothwing/cli/Commands.java
@@ -15,6 +15,7 @@
 import mothwing.cli.Command.Streams;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.apache.commons.cli.help.HelpFormatter;
@@ -41,6 +42,12 @@
                 option("c", "config", "FILE", "the configuration; else the file that EDGE_CONFIG names")));
         add(new Command("settings check", "FILE", "say what is wrong with a settings script", List.of(),
                 (line, to) -> SettingsCheck.run(Path.of(line.getArgList().get(0)), to.out())));
+        Option origin = Command.required("origin", "NAME", "the zone's name");
+        add(new Command("zone check", "FILE", "say what is wrong with a zone file", List.of(origin), (line, to) ->
+                ZoneCommands.check(line.getArgList().get(0), line.getOptionValue("origin"), to.out())));
+        add(new Command("zone diff", "A B", "say what differs between two zone files", List.of(origin), (line, to) ->
+                ZoneCommands.diff(line.getArgList().get(0), line.getArgList().get(1), line.getOptionValue("origin"),
+                        to.out())));
         add(new Command("version", "print the version", (line, to) -> {
             to.out().println("mothwing " + Commands.class.getPackage().getImplementationVersion());
             return 0;
@@ -111,7 +118,7 @@
             out.println();
             out.println("  " + (syntax + " " + one.operands()).strip());
             out.println("      " + one.about());
-            for (org.apache.commons.cli.Option option : one.options()) {
+            for (Option option : one.options()) {
                 out.printf("      %-24s %s%n", (option.getOpt() == null ? "" : "-" + option.getOpt() + ", ") + "--"
                         + option.getLongOpt() + " " + option.getArgName(), option.getDescription());
             }
--- a/src/test/java/mothwing/cli/CommandsTest.java
+++ b/src/test/java/mothwing/cli/CommandsTest.java
@@ -93,6 +93,24 @@
         assertEquals("settings check: site.star:1:1: ajp: argument listen is missing\n", err.toString());
     }
 
+    @Test
+    void checksAndComparesZoneFiles() throws Exception {
+        String good = "$TTL 60\n@ SOA ns host 1 2 3 4 5\n@ NS ns\nns A 10.0.0.1\n";
+        String a = Files.writeString(folder.resolve("a.zone"), good).toString();
+        String b = Files.writeString(folder.resolve("b.zone"), good.replace("host 1", "host 2")
+                + "ns A 10.0.0.2\nx A 10.0.0.300\n").toString();
+        assertEquals(0, run("zone", "check", a, "--origin", "example.org"), err::toString);
+        assertEquals("3 records, 0 refused\n", out.toString());
+        assertEquals(1, run("zone", "check", b, "--origin", "example.org"));
+        assertEquals("b.zone:6: A: Invalid address: 10.0.0.300\n4 records, 1 refused\n", out.toString());
+        assertEquals(1, run("zone", "diff", a, b, "--origin", "example.org"));
+        assertEquals("- example.org. 60 SOA ns.example.org. host.example.org. 1 2 3 4 5\n"
+                + "+ example.org. 60 SOA ns.example.org. host.example.org. 2 2 3 4 5\n"
+                + "+ ns.example.org. 60 A 10.0.0.2\n", out.toString());
+        assertEquals(0, run("zone", "diff", a, a, "--origin", "example.org"));
+        assertEquals(2, run("zone", "check", a));
+    }
+
     private Process serve(String file) throws IOException {
         return new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp", System.getProperty("java.class.path"), "mothwing.Main", "serve", "--config", file,
