Serve DNS zones with signed dynamic updates that survive crashes and reloads

Need: a server that joins or leaves is to be announced at once, by an update that is not lost once it was answered, is not applied twice when its answer was lost, and is not undone when the operator's file is read again in the middle of it.

ZoneKeeper evaluates updates against the newest version, serves what is forced, remembers signatures for as long as they hold and merges file and updates set by set. Questions have a reader and writer of our own, with cookies, truncation, extended errors, rate limiting and a cache tied to the zone's version; updates and TSIG go through dnsjava. `zone update` sends updates and repeats them byte for byte.

--- a/src/main/java/mothwing/cli/Commands.java
+++ b/src/main/java/mothwing/cli/Commands.java
@@ -42,12 +42,21 @@
                 option("c", "config", "FILE", "the configuration; else the file that EDGE_CONFIG names")));
         add(new Command("settings check", "FILE", "say what is wrong with a settings script", List.of(),
                 (line, to) -> SettingsCheck.run(Path.of(line.getArgList().get(0)), to.out())));
+        add(new Command("dns", "serve zones and take updates",
+                (line, to) -> Dns.run(Path.of(line.getOptionValue("settings")), to.out()),
+                Command.required("settings", "FILE", "the settings script")));
         Option origin = Command.required("origin", "NAME", "the zone's name");
         add(new Command("zone check", "FILE", "say what is wrong with a zone file", List.of(origin), (line, to) ->
                 ZoneCommands.check(line.getArgList().get(0), line.getOptionValue("origin"), to.out())));
         add(new Command("zone diff", "A B", "say what differs between two zone files", List.of(origin), (line, to) ->
                 ZoneCommands.diff(line.getArgList().get(0), line.getArgList().get(1), line.getOptionValue("origin"),
                         to.out())));
+        add(new Command("zone update", "send the dynamic updates on standard input, a line each",
+                (line, to) -> ZoneUpdate.run(line.getOptionValue("server"), line.getOptionValue("zone"),
+                        line.getOptionValue("key"), to.in(), to.out()),
+                Command.required("server", "HOST:PORT", "where the zone is served"),
+                Command.required("zone", "NAME", "the zone's name"),
+                Command.required("key", "NAME:FILE", "the key and the file with its secret in base64")));
         add(new Command("version", "print the version", (line, to) -> {
             to.out().println("mothwing " + Commands.class.getPackage().getImplementationVersion());
             return 0;
--- /dev/null
+++ b/src/main/java/mothwing/cli/Dns.java
@@ -0,0 +1,25 @@
+package mothwing.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import mothwing.server.DnsService;
+import mothwing.server.LineLog;
+
+/** Runs one DNS server in the foreground until it has drained. */
+final class Dns {
+    private Dns() {
+    }
+
+    static int run(Path settings, PrintStream out) throws IOException, InterruptedException {
+        LineLog log = new LineLog(out);
+        DnsService service = new DnsService(settings, log);
+        if (!Hangup.handle(service::reload)) {
+            log.line("reload-failed what=\"this runtime takes no SIGHUP\"");
+        }
+        service.start();
+        Foreground.leaveOnSignal(service, log);
+        service.await();
+        return 0;
+    }
+}
--- a/src/main/java/mothwing/cli/Serve.java
+++ b/src/main/java/mothwing/cli/Serve.java
@@ -27,7 +27,7 @@
             log.line("reload-failed what=\"this runtime takes no SIGHUP\"");
         }
         Server server = new Server(config, ajp == null ? null : Config.readListen(Path.of(ajp)), log);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, log), "leave"));
+        Foreground.leaveOnSignal(server, log);
         server.start();
         started.complete(new Reload(path, server, log));
         server.await();
@@ -40,17 +40,4 @@
                 + config.settings().classes().size() + " classes, " + config.settings().tenants().size() + " tenants");
         return 0;
     }
-
-    /** The notice to leave is a signal to end: the runtime waits for this, and then ends with status 0. */
-    private static void leave(Server server, LineLog log) {
-        try {
-            server.drain();
-            server.await();
-            log.line(server.counts());
-            log.close();
-        } catch (InterruptedException broken) {
-            Thread.currentThread().interrupt();
-        }
-        Runtime.getRuntime().halt(0);
-    }
 }
--- /dev/null
+++ b/src/main/java/mothwing/dns/server/DnsDecisions.java
@@ -0,0 +1,44 @@
+package mothwing.dns.server;
+
+import java.util.List;
+import mothwing.OverloadControl.Dependency;
+import mothwing.OverloadControl.FreeValue;
+import mothwing.OverloadControl.Goal;
+import mothwing.OverloadControl.Halting;
+import mothwing.OverloadControl.Machine;
+import mothwing.OverloadControl.Repeats;
+import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Rules;
+import mothwing.OverloadControl.Settings;
+import mothwing.OverloadControl.Signals;
+
+/**
+ * What the controller is told of DNS: queries are safe to repeat and worth little each; an update runs once and is
+ * worth as much as an order. Resolvers ask again after a second or so, and give up after a few; the answer of an
+ * overloaded server is to come well before. One event loop is one core.
+ */
+final class DnsDecisions {
+    /** The class of queries. */
+    static final String QUERY = "query";
+    /** The class of updates. */
+    static final String UPDATE = "update";
+    /** The gauges, in order. */
+    static final List<String> GAUGES = List.of("cpu_busy", "runnable", "mem_used", "sockets");
+
+    private static final long MILLI = 1000;
+    private static final long SECOND = 1000 * MILLI;
+    private static final double CROWD = 1024; // requests that the loop can have in hand without running any slower
+
+    private DnsDecisions() {
+    }
+
+    static Settings settings(long seed) {
+        return new Settings(seed, MILLI / 5, List.of(
+                new RequestClass(QUERY, 400 * MILLI, 2 * SECOND, 1, 0, Repeats.SAFE, 0, false, 0),
+                new RequestClass(UPDATE, SECOND, 5 * SECOND, 10, 0, Repeats.SINGLE_SHOT, 0, false, 0)),
+                List.of(), 1, 1, false, 1, 0, new Goal(1, 0, 0, 0),
+                new Rules(100 * MILLI, 2 * SECOND, CROWD, 2 * SECOND, 1, 0), new Dependency(0, 5 * SECOND, 0),
+                new Machine(1, Runtime.getRuntime().maxMemory() >> 10, 2, 0, false, GAUGES, Halting.NONE),
+                new Signals(FreeValue.NONE, 0, false, 0, false, 0));
+    }
+}
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -28,7 +28,7 @@
 import mothwing.pool.Pool;
 
 /** One shop server: the parts, wired together on one event loop, from its start to its end. */
-public final class Server {
+public final class Server implements Service {
     private static final long MILLI = 1000;
     private static final long TRIM_PERIOD = 50 * MILLI;
     private static final long LEAVE_PERIOD = 20 * MILLI;
@@ -134,7 +134,7 @@
         }
     }
 
-    /** The notice to leave: may come from any thread, and more than once. */
+    @Override
     public void drain() {
         loop.execute(() -> {
             if (!broker.draining()) {
@@ -160,11 +160,7 @@
         }
     }
 
-    /**
-     * The counts so far.
-     *
-     * @return one line
-     */
+    @Override
     public String counts() {
         CompletableFuture<String> line = new CompletableFuture<>();
         loop.execute(() -> line.complete("counts " + broker.counts()));
@@ -184,11 +180,7 @@
         return listeners.stream().map(Listener::address).toList();
     }
 
-    /**
-     * Waits until the server has left after a notice.
-     *
-     * @throws InterruptedException where the wait is broken off
-     */
+    @Override
     public void await() throws InterruptedException {
         ended.await();
     }
--- a/src/main/java/mothwing/settings/Site.java
+++ b/src/main/java/mothwing/settings/Site.java
@@ -28,6 +28,7 @@
      * The bounds of the DNS front.
      *
      * @param udpBytes most bytes of an answer over UDP (RFC 6891 section 6.2.5), 512 to 4,096
+     * @param unprovenBytes the same for whoever shows no good cookie (RFC 7873), 512 to 4,096
      * @param connections most TCP connections
      * @param idleMs milliseconds after which an idle or dripping TCP connection is closed
      * @param pipelined most queries open on one TCP connection (RFC 7766 section 6.2.1.1)
@@ -39,10 +40,10 @@
      * @param repeats most accepted updates that are remembered for their repeats
      * @param control whether the overload controller decides
      */
-    public record DnsLimits(int udpBytes, int connections, int idleMs, int pipelined, int responsesPerSecond,
+    public record DnsLimits(int udpBytes, int unprovenBytes, int connections, int idleMs, int pipelined, int responsesPerSecond,
             int prefixes, int cached, int records, long journalBytes, int repeats, boolean control) {
         /** What holds where the script says nothing. */
-        public static final DnsLimits USUAL = new DnsLimits(1232, 512, 10_000, 32, 0, 16_384, 8192, 2_000_000,
+        public static final DnsLimits USUAL = new DnsLimits(1232, 512, 512, 10_000, 32, 0, 16_384, 8192, 2_000_000,
                 64L << 20, 65_536, true);
     }
 
