--- a/src/test/java/mothwing/dns/server/ZoneKeeperTest.java
+++ b/src/test/java/mothwing/dns/server/ZoneKeeperTest.java
@@ -142,7 +142,7 @@
 
     @Property(seed = "1764576020", tries = 40)
     void losesNothingAndAppliesNothingTwice(@ForAll long seed) throws IOException {
-        Path folder = Files.createTempDirectory("keeper");
+        Path folder = Files.createTempDirectory(Path.of("target"), "keeper");
         Random random = new Random(seed);
         FaultyDisk disk = new FaultyDisk(seed);
         Set<Integer> hosts = new HashSet<>(Set.of(1, 2));
