Find reloaded DNS zones by their names and take out what nothing uses

Cause: read again, the reload looked each zone up by comparing texts of names, on the event loop, though the names stand in a map beside it; a name that needs an escape would not have been found after the keys had already been exchanged.

Change: settings, rights and zones are kept by name throughout.

--- a/src/main/java/mothwing/dns/server/AnswerWriter.java
+++ b/src/main/java/mothwing/dns/server/AnswerWriter.java
@@ -18,8 +18,6 @@
     static final int TCP = 65_535;
     /** Extended errors (RFC 8914 section 5.2). */
     static final int OTHER = 0;
-    /** The server is not ready to serve. */
-    static final int NOT_READY = 14;
     /** The server does not do that. */
     static final int NOT_SUPPORTED = 21;
     /** The server has no authority over the name. */
--- a/src/main/java/mothwing/dns/server/DnsFront.java
+++ b/src/main/java/mothwing/dns/server/DnsFront.java
@@ -11,8 +11,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -97,7 +100,7 @@
 
     /** The rights of a zone, with names and types as numbers. */
     private static Rights rights(Site.Zone zone) throws BadInput {
-        java.util.ArrayList<Rights.Grant> grants = new java.util.ArrayList<>();
+        List<Rights.Grant> grants = new ArrayList<>();
         for (Site.Right one : zone.rights()) {
             Set<Integer> types = new HashSet<>();
             for (String type : one.types()) {
@@ -170,10 +173,10 @@
      */
     public void reload(Site.Dns now) throws IOException {
         Signer signer = new Signer(now);
-        Set<DomainName> wanted = new HashSet<>();
-        java.util.Map<DomainName, Rights> granted = new java.util.LinkedHashMap<>();
+        Map<DomainName, Site.Zone> wanted = new LinkedHashMap<>();
+        Map<DomainName, Rights> granted = new LinkedHashMap<>();
         for (Site.Zone zone : now.zones()) {
-            wanted.add(name(zone.name()));
+            wanted.put(name(zone.name()), zone);
             granted.put(name(zone.name()), rights(zone));
         }
         Set<DomainName> known = loop.submit(() -> {
@@ -181,26 +184,24 @@
             engine.zones().forEach(one -> all.add(one.origin()));
             return all;
         }).syncUninterruptibly().getNow();
-        java.util.List<ZoneKeeper> fresh = new java.util.ArrayList<>();
-        for (Site.Zone zone : now.zones()) {
-            if (!known.contains(name(zone.name()))) {
-                fresh.add(open(zone));
+        List<ZoneKeeper> fresh = new ArrayList<>();
+        for (Map.Entry<DomainName, Site.Zone> one : wanted.entrySet()) {
+            if (!known.contains(one.getKey())) {
+                fresh.add(open(one.getValue()));
             }
         }
         loop.execute(() -> {
             engine.signer(signer);
             fresh.forEach(engine::add);
-            for (Site.Zone zone : now.zones()) {
-                DomainName origin = granted.keySet().stream().filter(one -> (zone.name() + ".").equals(one.toString()))
-                        .findFirst().orElseThrow();
+            wanted.forEach((origin, zone) -> {
                 ZoneKeeper keeper = engine.zone(origin);
                 keeper.settings(zone, granted.get(origin));
                 if (known.contains(origin)) {
                     keeper.reload();
                 }
-            }
+            });
             for (DomainName one : known) {
-                if (!wanted.contains(one)) {
+                if (!wanted.containsKey(one)) {
                     ZoneKeeper left = engine.zone(one);
                     engine.remove(one);
                     left.close(() -> log.line("zone-closed zone=" + one));
--- a/src/main/java/mothwing/dns/server/Query.java
+++ b/src/main/java/mothwing/dns/server/Query.java
@@ -20,7 +20,6 @@
     private static final int QR = 0x8000;
     private static final int OPT_FIXED = 10;
     private static final int COOKIE = 10;
-    private static final int TYPE_TSIG = Type.TSIG;
 
     private final byte[] bytes;
     private int error = Rcode.NOERROR;
@@ -99,7 +98,7 @@
             if (kind == Type.OPT) {
                 opt(owner, at);
             }
-            signed |= kind == TYPE_TSIG;
+            signed |= kind == Type.TSIG;
             at += OPT_FIXED + u16(at + 8);
             if (at > bytes.length) {
                 error = Rcode.FORMERR;
--- a/src/main/java/mothwing/dns/zone/ZoneFile.java
+++ b/src/main/java/mothwing/dns/zone/ZoneFile.java
@@ -11,7 +11,6 @@
 import org.xbill.DNS.DClass;
 import org.xbill.DNS.Name;
 import org.xbill.DNS.TTL;
-import org.xbill.DNS.TextParseException;
 import org.xbill.DNS.Type;
 
 /**
