Play trials on real processes: relay, gateways, callers, oracles; trial run and demo

Need: proof on several processes with faults between them, and one set of stand-ins.

Change: mothwing.lab. Oracles judge the history of callers and pools. Stand, StandInPool, Gateway, Till and Served move here from the tests, which use them; StandInPool keeps the last 4,000 notices and has its runs from PoolCores. Sub-commands trial run and demo. Nothing depends on the package but cli, which names it only where a trial is asked for.

--- a/src/main/java/mothwing/cli/Command.java
+++ b/src/main/java/mothwing/cli/Command.java
@@ -40,6 +40,11 @@
         return Option.builder(letter).longOpt(name).hasArg().argName(value).desc(about).get();
     }
 
+    /** An option without a value. */
+    static Option mark(String name, String about) {
+        return Option.builder().longOpt(name).desc(about).get();
+    }
+
     /** An option that must be given. */
     static Option required(String name, String value, String about) {
         return Option.builder().longOpt(name).hasArg().argName(value).desc(about).required().get();
--- a/src/main/java/mothwing/cli/Commands.java
+++ b/src/main/java/mothwing/cli/Commands.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import mothwing.adapter.Adapter;
 import mothwing.cli.Command.Streams;
+import mothwing.lab.Trials;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -61,6 +62,13 @@
                 Command.required("server", "HOST:PORT", "where the zone is served"),
                 Command.required("zone", "NAME", "the zone's name"),
                 Command.required("key", "NAME:FILE", "the key and the file with its secret in base64")));
+        Option report = option("r", "report", "DIR", "where to write the history and the page");
+        add(new Command("demo", "play a built-in trial: three servers, one killed, one link cut",
+                (line, to) -> Trials.demo(path(line, "report"), to.out()), report));
+        add(new Command("trial run", "FILE", "play the trial of a script, and judge it", List.of(
+                option("s", "seed", "N", "in place of the script's"), Command.mark("simulate", "on virtual time"),
+                option("n", "seeds", "K", "so many seeds in turn"), report),
+                (line, to) -> Trials.run(Path.of(line.getArgList().get(0)), asked(line), to.out())));
         add(new Command("version", "print the version", (line, to) -> {
             to.out().println("mothwing " + Commands.class.getPackage().getImplementationVersion());
             return 0;
@@ -75,6 +83,28 @@
         ALL.put(command.name(), command);
     }
 
+    private static Path path(CommandLine line, String option) {
+        return line.hasOption(option) ? Path.of(line.getOptionValue(option)) : null;
+    }
+
+    private static Trials.Asked asked(CommandLine line) throws IOException {
+        return new Trials.Asked(line.hasOption("seed") ? number(line, "seed", 0, Long.MAX_VALUE) : null,
+                line.hasOption("simulate"), line.hasOption("seeds") ? (int) number(line, "seeds", 1, 1_000_000) : 1,
+                path(line, "report"));
+    }
+
+    private static long number(CommandLine line, String option, long least, long most) throws IOException {
+        try {
+            long value = Long.parseLong(line.getOptionValue(option));
+            if (value >= least && value <= most) {
+                return value;
+            }
+        } catch (NumberFormatException none) {
+            // said below
+        }
+        throw new IOException("--" + option + " is " + line.getOptionValue(option) + ", expected " + least + " to " + most);
+    }
+
     private static String config(CommandLine line) {
         return line.getOptionValue("config", System.getenv().getOrDefault("EDGE_CONFIG", ""));
     }
@@ -133,7 +163,8 @@
             out.println("      " + one.about());
             for (Option option : one.options()) {
                 out.printf("      %-24s %s%n", (option.getOpt() == null ? "" : "-" + option.getOpt() + ", ") + "--"
-                        + option.getLongOpt() + " " + option.getArgName(), option.getDescription());
+                        + option.getLongOpt() + (option.hasArg() ? " " + option.getArgName() : ""),
+                        option.getDescription());
             }
         }
         return 0;
--- a/src/main/java/mothwing/lab/Answer.java
+++ b/src/main/java/mothwing/lab/Answer.java
@@ -1,4 +1,4 @@
-package mothwing.testing;
+package mothwing.lab;
 
 import java.util.Map;
 
--- /dev/null
+++ b/src/main/java/mothwing/lab/Oracles.java
@@ -0,0 +1,242 @@
+package mothwing.lab;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import mothwing.lab.Fault.Kind;
+import mothwing.lab.History.Applied;
+import mothwing.lab.History.Call;
+import mothwing.lab.History.End;
+import mothwing.lab.History.Life;
+import mothwing.lab.History.Run;
+
+/** Judges a history by the rules. Pure, and independent of what was judged. */
+final class Oracles {
+    /** The rules that hold for every trial unless it names others. */
+    static final Set<String> RULES = Set.copyOf(new TreeSet<>(List.of("one-answer", "own-result", "once-a-server",
+            "refused-never-ran", "due", "drain", "bounds", "alive", "closes")));
+    /** Rules that a trial may ask for. */
+    static final Set<String> FURTHER = Set.of("once-in-fleet");
+
+    private static final Set<String> TIMED = Set.of("due", "drain", "closes");
+    private static final long MILLI = 1000;
+    private static final long SLACK = 150 * MILLI; // that of the settings, and 50 ms on sockets
+    private static final long GRACE = 2000 * MILLI; // after the notice, for arrivals that may run
+    private static final long CROSSING = 200 * MILLI; // in which the end of a process reaches its gateways
+    private static final long TOO_LATE = 50 * MILLI;
+    private static final double LATE_SHARE = 0.01;
+
+    /** One breach: the rule, and what was seen. */
+    record Breach(String rule, String words) {
+    }
+
+    /**
+     * What came out.
+     *
+     * @param breaches rules that broke
+     * @param doubts why there is no verdict, where there is none
+     */
+    record Verdict(List<Breach> breaches, List<String> doubts) {
+        /** 0 where all held, 1 where a rule broke, 3 where nobody can say. */
+        int status() {
+            return !breaches.isEmpty() ? 1 : doubts.isEmpty() ? 0 : 3;
+        }
+    }
+
+    private final Trial trial;
+    private final History history;
+    private final List<Breach> all = new ArrayList<>();
+    private final Map<String, List<Run>> runsByTrace = new HashMap<>();
+
+    private Oracles(Trial trial, History history) {
+        this.trial = trial;
+        this.history = history;
+        for (Run one : history.runs) {
+            runsByTrace.computeIfAbsent(one.trace, none -> new ArrayList<>()).add(one);
+        }
+    }
+
+    /** Judges all that the trial's rules name. */
+    static Verdict judge(Trial trial, History history) {
+        Oracles one = new Oracles(trial, history);
+        one.calls();
+        one.runs();
+        one.lives();
+        List<Breach> breaches = new ArrayList<>(one.all);
+        breaches.removeIf(breach -> !trial.rules().contains(breach.rule()));
+        List<String> doubts = new ArrayList<>(history.troubles);
+        long late = history.lateness.stream().filter(by -> by > TOO_LATE).count();
+        if (late > LATE_SHARE * history.lateness.size()) {
+            doubts.add("the machine was too slow to judge: of " + history.lateness.size() + " looks at the rig's clock " + late
+                    + " were more than " + TOO_LATE / MILLI + " ms late");
+            breaches.removeIf(breach -> TIMED.contains(breach.rule()) && doubts.add("unjudged, " + breach.rule() + ": "
+                    + breach.words()));
+        }
+        if (history.calls.isEmpty()) {
+            doubts.add("nothing was asked");
+        }
+        return new Verdict(List.copyOf(breaches), List.copyOf(doubts));
+    }
+
+    private void breach(String rule, String words) {
+        all.add(new Breach(rule, words));
+    }
+
+    private static String seconds(long micros) {
+        return Fault.number(Math.round(micros / 1000.0) / 1000.0) + " s";
+    }
+
+    private static String told(Call call) {
+        return call.kind() + " " + call.order() + " try " + call.attempt() + " (" + call.trace() + ") from " + call.gateway()
+                + " to " + call.server() + " at " + seconds(call.sentAt());
+    }
+
+    // what callers saw
+
+    private void calls() {
+        for (Call call : history.calls) {
+            if (call.extra() > 0) {
+                breach("one-answer", told(call) + " was answered " + (1 + call.extra()) + " times");
+            }
+            List<Run> runs = runsByTrace.getOrDefault(call.trace(), List.of());
+            if (call.end() == End.SERVED && !call.proper()) {
+                breach("own-result", told(call) + " was served what the pool does not make of it");
+            } else if (call.end() == End.SERVED && runs.stream().noneMatch(run -> run.code.equals("done"))) {
+                breach("own-result", told(call) + " was served, and no run of it has ended well");
+            }
+            if (call.end() == End.REFUSED && !runs.isEmpty()) {
+                breach("refused-never-ran", told(call) + " was refused, and ran at " + seconds(runs.get(0).beganAt));
+            }
+            boolean excused = excused(call);
+            if ((call.end() == End.LOST || call.end() == End.OPEN) && !excused) {
+                breach("one-answer", told(call) + " had no answer: " + call.end().name().toLowerCase(java.util.Locale.ROOT)
+                        + " at " + seconds(call.endedAt()));
+            }
+            long due = call.sentAt() + trial.fleet().deadlineMs() * MILLI + SLACK + still(call);
+            if (call.end() != End.UNREACHED && call.end() != End.LOST && call.endedAt() > due && !excused) {
+                breach("due", told(call) + " ended after " + seconds(call.endedAt() - call.sentAt()) + ", "
+                        + call.end().name().toLowerCase(java.util.Locale.ROOT));
+            }
+        }
+    }
+
+    /** Whether a fault between the two, or the end of the server, takes the server's word out of its hands. */
+    private boolean excused(Call call) {
+        for (Applied one : history.applied) {
+            boolean meanwhile = one.at() <= call.endedAt() && one.until() + CROSSING >= call.sentAt();
+            Fault fault = one.fault();
+            boolean gone = fault.kind() == Kind.KILL || fault.kind() == Kind.WIPE;
+            if (meanwhile && gone && fault.from().stream().anyMatch(name -> Trial.machine(name).equals(call.server()))
+                    || meanwhile && fault.kind().link && fault.kind() != Kind.HEAL
+                    && (Links.touches(fault, call.gateway(), call.server())
+                    || Links.touches(fault, call.server(), call.gateway()))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Microseconds for which its server stood still while it was open. */
+    private long still(Call call) {
+        long sum = 0;
+        for (Applied one : history.applied) {
+            if (one.fault().kind() == Kind.STOP
+                    && one.fault().from().stream().anyMatch(name -> Trial.machine(name).equals(call.server()))) {
+                sum += Math.max(0, Math.min(one.until(), call.endedAt()) - Math.max(one.at(), call.sentAt()));
+            }
+        }
+        return sum;
+    }
+
+    // what pools ran
+
+    private void runs() {
+        Map<String, Map<String, Integer>> byMachine = new LinkedHashMap<>();
+        for (Run run : history.runs) {
+            if (run.kind.equals(Trial.ORDER)) {
+                byMachine.computeIfAbsent(run.machine, none -> new LinkedHashMap<>()).merge(run.trace, 1, Integer::sum);
+            }
+        }
+        byMachine.forEach((machine, traces) -> traces.forEach((trace, times) -> {
+            if (times > 1) {
+                breach("once-a-server", "the write " + trace + " ran " + times + " times on " + machine);
+            }
+        }));
+        ranTwice(history).forEach((order, runs) -> breach("once-in-fleet", "the write " + order + " ran " + runs.size()
+                + " times: " + String.join(", ", runs.stream()
+                        .map(run -> "on " + run.machine + " at " + seconds(run.beganAt)).toList())));
+    }
+
+    /** The writes of callers that ran more than once, on whatever machine. */
+    static Map<String, List<Run>> ranTwice(History history) {
+        Map<String, List<Run>> all = new LinkedHashMap<>();
+        for (Run run : history.runs) {
+            if (run.kind.equals(Trial.ORDER)) {
+                all.computeIfAbsent(run.order, none -> new ArrayList<>()).add(run);
+            }
+        }
+        all.values().removeIf(runs -> runs.size() < 2);
+        return all;
+    }
+
+    /** Writes that a caller holds an answer to, and whose server has lost its disk since. */
+    static Set<String> forgotten(History history) {
+        Set<String> all = new HashSet<>();
+        for (Call call : history.calls) {
+            if (call.kind().equals(Trial.ORDER) && call.end() == End.SERVED && history.applied.stream().anyMatch(one ->
+                    one.fault().kind() == Kind.WIPE && one.fault().from().contains(call.server())
+                            && one.at() >= call.endedAt())) {
+                all.add(call.order());
+            }
+        }
+        return all;
+    }
+
+    // processes
+
+    private void lives() {
+        Map<String, Call> sent = new HashMap<>();
+        history.calls.forEach(call -> sent.put(call.trace(), call));
+        for (Life life : history.lives) {
+            String who = life.machine + " (start " + life.life + ")";
+            if (life.endedAt >= 0 && life.noticeAt < 0 && !life.killed) {
+                breach("alive", who + " ended by itself at " + seconds(life.endedAt) + " with status " + life.status);
+            }
+            if (life.noticeAt >= 0 && (life.overstayed || life.endedAt >= 0 && !life.killed && life.status != 0)) {
+                breach("drain", who + (life.overstayed ? " was still there " + trial.fleet().stopMs() + " ms after its notice"
+                        : " ended with status " + life.status + " after its notice"));
+            }
+            if (life.kept > 0) {
+                breach("closes", who + " kept " + life.kept + " connections on which nothing was open after its notice");
+            }
+            for (Run run : history.runs) {
+                Call call = sent.get(run.trace);
+                if (life.noticeAt >= 0 && run.machine.equals(life.machine) && run.life == life.life && call != null
+                        && call.sentAt() > life.noticeAt + GRACE + SLACK) {
+                    breach("drain", who + " ran what reached it " + seconds(call.sentAt() - life.noticeAt)
+                            + " after its notice: " + told(call));
+                }
+            }
+        }
+        Map<String, History.Size> most = new LinkedHashMap<>();
+        history.sizes.forEach(one -> {
+            most.merge(one.machine() + " kB", one, (a, b) -> a.kilobytes() >= b.kilobytes() ? a : b);
+            most.merge(one.machine() + " descriptors", one, (a, b) -> a.descriptors() >= b.descriptors() ? a : b);
+        });
+        most.forEach((what, one) -> {
+            if (what.endsWith("kB") && one.kilobytes() > trial.fleet().memoryMb() * 1024L
+                    || what.endsWith("rs") && one.descriptors() > trial.fleet().sockets()) {
+                breach("bounds", what + ": " + (what.endsWith("kB") ? one.kilobytes() : one.descriptors()) + " at "
+                        + seconds(one.at()) + ", more than " + (what.endsWith("kB") ? trial.fleet().memoryMb() + " MB"
+                        : trial.fleet().sockets()));
+            }
+        });
+        all.sort(Comparator.comparing(Breach::rule));
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/lab/PoolCores.java
@@ -0,0 +1,196 @@
+package mothwing.lab;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import mothwing.broker.Timers;
+
+/**
+ * The cores of a stand-in worker pool, which share them evenly among what runs, and the journal of all runs. Pure: time
+ * comes from its timers, work from its random numbers.
+ */
+final class PoolCores {
+    private static final long UNENDING = Long.MAX_VALUE / 4;
+    private static final double MICRO_SHARE = 1e-3; // microseconds of work left that count as done
+
+    /** Who is told of the end of a run: {@code done} or {@code aborted}. */
+    interface Ends {
+        /** A run is over, or was stopped, after so many microseconds on the cores. */
+        void ended(String id, String code, long took, byte[] body);
+    }
+
+    /** What the pool does, and how fast. */
+    record Work(int cores, double meanMs, double spread) {
+        /** A run that ends by {@link #endAll} only. */
+        static Work unending() {
+            return new Work(2, -1, 0);
+        }
+
+        /** So many milliseconds for each run, however many there are. */
+        static Work fixed(long ms) {
+            return new Work(Integer.MAX_VALUE, ms, 0);
+        }
+    }
+
+    private static final class Job {
+        final byte[] body;
+        final Ends ends;
+        final History.Run run;
+        double left;
+        double took;
+
+        Job(byte[] body, Ends ends, History.Run run, double left) {
+            this.body = body;
+            this.ends = ends;
+            this.run = run;
+            this.left = left;
+        }
+    }
+
+    private final Work work;
+    private final Timers timers;
+    private final Random random;
+    private final History.Journal journal;
+    private final Map<String, Job> running = new LinkedHashMap<>();
+    private final Map<String, Job> paused = new LinkedHashMap<>();
+    private double speed = 1;
+    private long last;
+    private long planned = Long.MAX_VALUE;
+    private boolean off;
+
+    PoolCores(Work work, Timers timers, Random random, History.Journal journal) {
+        this.work = work;
+        this.timers = timers;
+        this.random = random;
+        this.journal = journal;
+        last = timers.now();
+    }
+
+    /** Begins a run, unless there is one of that name. */
+    void spawn(String id, String kind, byte[] body, Ends ends) {
+        if (off || running.containsKey(id) || paused.containsKey(id)) {
+            return;
+        }
+        advance();
+        double ms = work.meanMs() * (1 + work.spread() * (2 * random.nextDouble() - 1));
+        running.put(id, new Job(body, ends, journal.began(id, kind, body, timers.now()),
+                work.meanMs() < 0 ? UNENDING : Math.max(1, ms * 1000)));
+        plan();
+    }
+
+    /** Stops a run and keeps it; nothing where there is none. */
+    void suspend(String id) {
+        advance();
+        Job job = running.remove(id);
+        if (job != null) {
+            paused.put(id, job);
+            job.ends.ended(id, "aborted", (long) job.took, job.body);
+            plan();
+        }
+    }
+
+    /** Goes on with a run that was stopped. */
+    void proceed(String id) {
+        advance();
+        Job job = paused.remove(id);
+        if (job != null) {
+            running.put(id, job);
+            plan();
+        }
+    }
+
+    /** The share of its speed at which it works from now on. */
+    void speed(double now) {
+        advance();
+        speed = now;
+        plan();
+    }
+
+    /** The machine stands still, or goes on. */
+    void hold(boolean still) {
+        advance();
+        off = still;
+        if (!still) {
+            last = timers.now();
+            plan();
+        }
+    }
+
+    /** Power is lost: what runs is gone, and nobody is told. */
+    void lose() {
+        off = true;
+        List<Job> all = new ArrayList<>(running.values());
+        all.addAll(paused.values());
+        all.forEach(job -> journal.ended(job.run, "lost", timers.now()));
+        running.clear();
+        paused.clear();
+    }
+
+    /** Ends all that runs. */
+    void endAll() {
+        advance();
+        for (String id : new ArrayList<>(running.keySet())) {
+            end(id);
+        }
+    }
+
+    /** Busy share of the cores, runs on them, share of memory, open sockets. */
+    double[] gauges() {
+        return new double[] {Math.min(1, (double) running.size() / Math.min(work.cores(), 1 << 10)), running.size(), 0.1, 1};
+    }
+
+    boolean anyPaused() {
+        return !paused.isEmpty();
+    }
+
+    private double rate() {
+        return speed * Math.min(1, (double) work.cores() / Math.max(1, running.size()));
+    }
+
+    private void advance() {
+        long now = timers.now();
+        double done = off ? 0 : (now - last) * rate();
+        last = now;
+        for (Job job : running.values()) {
+            job.left -= done;
+            job.took += off ? 0 : done;
+        }
+    }
+
+    private void plan() {
+        double least = running.values().stream().mapToDouble(job -> job.left).min().orElse(-1);
+        if (least < 0 && running.isEmpty() || off || rate() <= 0) {
+            return;
+        }
+        double wait = Math.max(0, least) / rate();
+        long at = wait > UNENDING / 2 ? Long.MAX_VALUE : timers.now() + (long) Math.ceil(wait);
+        if (at < planned || planned <= timers.now()) {
+            planned = at;
+            if (at < Long.MAX_VALUE) {
+                timers.at(at, this::due);
+            }
+        }
+    }
+
+    private void due() {
+        planned = Long.MAX_VALUE;
+        advance();
+        if (off) {
+            return;
+        }
+        for (Map.Entry<String, Job> one : new ArrayList<>(running.entrySet())) {
+            if (one.getValue().left <= MICRO_SHARE) {
+                end(one.getKey());
+            }
+        }
+        plan();
+    }
+
+    private void end(String id) {
+        Job job = running.remove(id);
+        journal.ended(job.run, "done", timers.now());
+        job.ends.ended(id, "done", (long) job.took, job.body);
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/lab/Served.java
@@ -0,0 +1,168 @@
+package mothwing.lab;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/** A shop server as a process of its own, with an operators' door; its log is read as it comes. */
+public final class Served implements AutoCloseable {
+    /** As it is started in service: the deploy file has the same bounds. */
+    static final List<String> OPTIONS = List.of("-Xms40m", "-Xmx48m", "-XX:MaxDirectMemorySize=16m", "-Xss256k",
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:ReservedCodeCacheSize=16m", "-XX:MaxMetaspaceSize=32m",
+            "-XX:-UsePerfData");
+    private static final int DOOR_PATIENCE_MS = 1000;
+    private static final int MOST_LINES = 20_000;
+
+    /** Its log so far: the first lines, up to a bound. */
+    public final List<String> lines = Collections.synchronizedList(new ArrayList<>());
+
+    private final Guarded process;
+    private final InetSocketAddress door;
+
+    /** Where one server stands; all on loopback addresses. */
+    record Place(String name, InetSocketAddress listen, InetSocketAddress door, InetSocketAddress pool,
+            InetSocketAddress announce) {
+    }
+
+    /** Starts one for clients at a port, in front of a pool; all its addresses are on loopback. */
+    public Served(Path folder, int port, int door, StandInPool pool) throws IOException {
+        this(folder, place(port, door, pool), new Trial.Fleet(1, 4, 0, 0, 4500, 192, 256, 3200), List.of(), line -> { });
+    }
+
+    /** Starts one in a folder that is its machine's disk. */
+    Served(Path folder, Place place, Trial.Fleet fleet, List<String> before, Consumer<String> log) throws IOException {
+        this.door = place.door();
+        Files.createDirectories(folder);
+        Path file = Files.writeString(folder.resolve("config-" + door.getPort() + ".json"), config(place, fleet));
+        List<String> command = new ArrayList<>(before);
+        command.addAll(Guarded.java(OPTIONS, "serve", "--config", file.toString()));
+        process = new Guarded(command, line -> {
+            if (lines.size() < MOST_LINES) {
+                lines.add(line);
+            }
+            log.accept(line);
+        });
+    }
+
+    private static Place place(int port, int door, StandInPool pool) {
+        return new Place("n1", local(port), local(door), pool.address(), local(1));
+    }
+
+    private static InetSocketAddress local(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** A configuration for clients at a port and operators at another. */
+    public static String config(int port, int door, StandInPool pool) {
+        return config(place(port, door, pool), new Trial.Fleet(1, 4, 0, 0, 4500, 192, 256, 3200));
+    }
+
+    /** A configuration. */
+    static String config(Place place, Trial.Fleet fleet) {
+        long deadline = fleet.deadlineMs() * 1000;
+        return String.format(Locale.ROOT, ("{'name':'%s','listen':'%s','management':'%s','pool':'%s','announce':'%s',"
+                + "'seed':'1','stop_ms':%d,'limits':{'cores':1.0,'memory_mb':%d,'sockets':%d},'settings':{'Round':2000,"
+                + "'Classes':[{'Name':'stock-check','Target':%d,'GiveUp':%d,'Worth':1},{'Name':'place-order',"
+                + "'Target':%d,'GiveUp':%d,'Worth':10,'Idempotency':'single_shot'}],"
+                + "'Tenants':[{'Name':'one','QuotaPerS':1000000}],'Contract':{'AnswerSlack':100000,'DrainGrace':2000000,"
+                + "'FallMultiple':8,'Fall':2000000},'Limits':{'RetryAfter':true,'MaxRetryAfter':1000000},"
+                + "'Extra':{'Cores':%d,'MemoryKb':900000,'RunMemFactor':16,'Halt':'suspend','Idle':30000000,"
+                + "'Gauges':['cpu_busy','runnable','mem_used','sockets'],'Say':'threshold'}}}").replace('\'', '"'),
+                place.name(), text(place.listen()), text(place.door()), text(place.pool()), text(place.announce()),
+                fleet.stopMs(), fleet.memoryMb(), fleet.sockets(), deadline * 2 / 5, deadline, deadline * 2 / 5, deadline,
+                fleet.cores());
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    /** A port on loopback that stays taken until the socket is closed, and that servers may share meanwhile. */
+    public static SocketChannel port() throws IOException {
+        return port(InetAddress.getLoopbackAddress());
+    }
+
+    /** The same at an address. */
+    static SocketChannel port(InetAddress at) throws IOException {
+        return SocketChannel.open().setOption(StandardSocketOptions.SO_REUSEPORT, true)
+                .setOption(StandardSocketOptions.SO_REUSEADDR, true).bind(new InetSocketAddress(at, 0));
+    }
+
+    /** The number of such a port. */
+    public static int number(SocketChannel port) throws IOException {
+        return ((InetSocketAddress) port.getLocalAddress()).getPort();
+    }
+
+    /** Makes a call at its door; an empty text where nobody answers within a second. */
+    public String call(String line) {
+        try (Socket socket = new Socket()) {
+            socket.setSoTimeout(DOOR_PATIENCE_MS);
+            socket.connect(door, DOOR_PATIENCE_MS);
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException closed) {
+            return "";
+        }
+    }
+
+    /** Waits until it takes clients. */
+    public void awaitYes() {
+        while (!call("HEALTH").startsWith("YES")) {
+            if (!process.alive()) {
+                throw new AssertionError("it ended: " + lines);
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Whether the process runs, or stands still. */
+    boolean alive() {
+        return process.alive();
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    /** Sends it a signal. */
+    void signal(String name) throws IOException {
+        process.signal(name);
+    }
+
+    /** Kills it outright. */
+    void kill() {
+        process.kill();
+    }
+
+    /** Completes with its exit status. */
+    CompletableFuture<Integer> ended() {
+        return process.ended();
+    }
+
+    /** Tells it to leave: the signal alone. */
+    public void leave() throws IOException {
+        process.signal("TERM");
+    }
+
+    /** Waits for its end, and gives its exit status. */
+    public int await() throws InterruptedException {
+        return process.await();
+    }
+
+    @Override
+    public void close() {
+        process.close();
+    }
+}
--- a/src/main/java/mothwing/lab/Stand.java
+++ b/src/main/java/mothwing/lab/Stand.java
@@ -1,4 +1,4 @@
-package mothwing.testing;
+package mothwing.lab;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/mothwing/lab/StandInPool.java
+++ b/src/main/java/mothwing/lab/StandInPool.java
@@ -1,4 +1,4 @@
-package mothwing.testing;
+package mothwing.lab;
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -11,31 +11,49 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.ArrayDeque;
 import java.util.Base64;
+import java.util.Deque;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
-/** A stand-in worker pool on a loopback port: numbers its notices, and gives them again to a new link. */
+/** A stand-in worker pool on a loopback port: numbers its notices, and gives the last ones again to a new link. */
 public final class StandInPool implements AutoCloseable {
-    private final ServerSocket listener = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
-    private final ScheduledExecutorService cores = Executors.newSingleThreadScheduledExecutor();
-    private final List<String> notices = new ArrayList<>();
+    private static final int MOST_NOTICES = 4000;
+
+    private final ServerSocket listener;
+    private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor(work -> {
+        Thread thread = new Thread(work, "stand-in-pool-clock");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Object lock;
+    private final PoolCores cores;
+    private final Deque<String> notices = new ArrayDeque<>();
     private final Map<String, Integer> spawns = new LinkedHashMap<>();
-    private final Map<String, String> running = new LinkedHashMap<>();
-    private final Map<String, String> paused = new LinkedHashMap<>();
-    private final long workMs;
+    private int told;
     private Socket link;
     private boolean up = true;
     private int suspends;
 
-    /** Starts one; work under 0 ms ends only by {@link #release}. */
+    /** Starts one with cores of its own; work under 0 ms ends only by {@link #release}. */
     public StandInPool(long workMs) throws IOException {
-        this.workMs = workMs;
+        lock = new Object();
+        cores = new PoolCores(workMs < 0 ? PoolCores.Work.unending() : PoolCores.Work.fixed(workMs),
+                new Epoch().on(clock, lock), new Random(1), History.unread());
+        listener = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+        serve(listener);
+    }
+
+    /** Starts one in front of cores that others may share, which are touched under the lock alone. */
+    StandInPool(InetAddress at, PoolCores cores, Object lock) throws IOException {
+        this.lock = lock;
+        this.cores = cores;
+        listener = new ServerSocket(0, 16, at);
         serve(listener);
     }
 
@@ -72,19 +90,32 @@
 
     private void accept(ServerSocket at) {
         while (!at.isClosed()) {
-            try (Socket socket = at.accept();
-                    BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()))) {
-                String line;
-                while ((line = in.readLine()) != null) {
+            try {
+                Socket socket = at.accept();
+                Thread reader = new Thread(() -> read(socket), "stand-in-pool-link");
+                reader.setDaemon(true);
+                reader.start();
+            } catch (IOException closed) {
+                // it is over, or the next link follows
+            }
+        }
+    }
+
+    private void read(Socket socket) {
+        try (socket; BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()))) {
+            String line;
+            while ((line = in.readLine()) != null) {
+                synchronized (lock) {
                     command(socket, JsonParser.parseString(line).getAsJsonObject());
+                    lock.notifyAll();
                 }
-            } catch (IOException broken) {
-                // the next link follows
             }
+        } catch (IOException | RuntimeException broken) {
+            // the next link follows
         }
     }
 
-    private synchronized void command(Socket from, JsonObject command) throws IOException {
+    private void command(Socket from, JsonObject command) throws IOException {
         String id = command.has("uid") ? command.get("uid").getAsString() : "";
         switch (command.get("action").getAsString()) {
             case "bind" -> {
@@ -95,40 +126,32 @@
             }
             case "spawn" -> {
                 spawns.merge(id, 1, Integer::sum);
-                run(id, command.get("content").getAsString());
+                cores.spawn(id, command.get("lane").getAsString(),
+                        Base64.getDecoder().decode(command.get("content").getAsString()), this::ended);
             }
             case "suspend" -> {
                 suspends++;
-                String content = running.get(id);
-                end(id, "aborted");
-                if (content != null) {
-                    paused.put(id, content);
-                }
+                cores.suspend(id);
             }
-            case "proceed" -> {
-                String content = paused.remove(id);
-                if (content != null) {
-                    run(id, content);
-                }
+            case "proceed" -> cores.proceed(id);
+            case "poll" -> {
+                double[] all = cores.gauges();
+                say("{\"action\":\"polled\",\"echo\":\"" + command.get("echo").getAsString() + "\",\"meters\":["
+                        + all[0] + "," + all[1] + "," + all[2] + "," + all[3] + "]}");
             }
-            case "poll" -> say("{\"action\":\"polled\",\"echo\":\"" + command.get("echo").getAsString()
-                    + "\",\"meters\":[" + Math.min(1, running.size() / 2.0) + "," + running.size() + ",0.1,1]}");
+            case "verify" -> say("{\"action\":\"verified\",\"echo\":\"" + command.get("echo").getAsString()
+                    + "\",\"code\":\"done\"}");
             default -> throw new IOException("not a command");
         }
-        notifyAll();
-    }
-
-    private void run(String id, String content) {
-        running.put(id, content);
-        if (workMs >= 0) {
-            cores.schedule(() -> end(id, "done"), workMs, TimeUnit.MILLISECONDS);
-        }
     }
 
     private void bound(int after) throws IOException {
         say("{\"action\":\"bound\",\"code\":\"seasoned\",\"wall_ms\":3600000}");
-        for (String notice : notices.subList(after, notices.size())) {
-            say(notice);
+        int number = told - notices.size();
+        for (String notice : notices) {
+            if (++number > after) {
+                say(notice);
+            }
         }
     }
 
@@ -139,23 +162,20 @@
         }
     }
 
-    private synchronized void end(String id, String code) {
-        String content = running.remove(id);
-        if (content == null) {
-            return;
+    private void ended(String id, String code, long took, byte[] body) {
+        String result = code.equals("done") ? Base64.getEncoder().encodeToString(made(body)) : "";
+        String notice = "{\"action\":\"finished\",\"pos\":" + ++told + ",\"uid\":\"" + id + "\",\"code\":\"" + code
+                + "\",\"wall_ms\":" + (took + 999) / 1000 + ",\"content\":\"" + result + "\"}";
+        notices.add(notice);
+        if (notices.size() > MOST_NOTICES) {
+            notices.remove();
         }
-        notices.add("{\"action\":\"finished\",\"pos\":" + (notices.size() + 1) + ",\"uid\":\"" + id + "\",\"code\":\""
-                + code + "\",\"wall_ms\":1,\"content\":\"" + (code.equals("done") ? result(content) : "") + "\"}");
         try {
-            say(notices.get(notices.size() - 1));
+            say(notice);
         } catch (IOException broken) {
             // the notice waits for the next link
         }
-        notifyAll();
-    }
-
-    private static String result(String body) {
-        return Base64.getEncoder().encodeToString(made(Base64.getDecoder().decode(body)));
+        lock.notifyAll();
     }
 
     /** What it makes of a body: the same bytes, backwards. */
@@ -168,57 +188,83 @@
     }
 
     /** Ends all that runs, once what is paused goes on. */
-    public synchronized void release() throws InterruptedException {
-        while (!paused.isEmpty()) {
-            wait();
+    public void release() throws InterruptedException {
+        synchronized (lock) {
+            while (cores.anyPaused()) {
+                lock.wait();
+            }
+            cores.endAll();
+        }
+    }
+
+    /** Touches the cores under their lock. */
+    void cores(Consumer<PoolCores> work) {
+        synchronized (lock) {
+            work.accept(cores);
         }
-        new ArrayList<>(running.keySet()).forEach(id -> end(id, "done"));
     }
 
     /** Says that it is not up, or that it has come up. */
-    public synchronized void up(boolean now) throws IOException {
-        up = now;
-        if (now && link != null) {
-            bound(0);
+    public void up(boolean now) throws IOException {
+        synchronized (lock) {
+            up = now;
+            if (now && link != null) {
+                bound(0);
+            }
         }
     }
 
     /** Breaks the link. */
-    public synchronized void cut() throws IOException {
-        Socket broken = link;
-        link = null;
-        broken.close();
+    public void cut() throws IOException {
+        synchronized (lock) {
+            Socket broken = link;
+            link = null;
+            broken.close();
+        }
     }
 
     /** Waits until it has a link. */
-    public synchronized void awaitLink() throws InterruptedException {
-        while (link == null) {
-            wait();
+    public void awaitLink() throws InterruptedException {
+        synchronized (lock) {
+            while (link == null) {
+                lock.wait();
+            }
         }
     }
 
     /** Waits until so many requests were handed to it. */
-    public synchronized void awaitSpawns(int many) throws InterruptedException {
-        while (spawns.size() < many) {
-            wait();
+    public void awaitSpawns(int many) throws InterruptedException {
+        synchronized (lock) {
+            while (spawns.size() < many) {
+                lock.wait();
+            }
         }
     }
 
     /** Waits until so many runs were to be stopped. */
-    public synchronized void awaitSuspends(int many) throws InterruptedException {
-        while (suspends < many) {
-            wait();
+    public void awaitSuspends(int many) throws InterruptedException {
+        synchronized (lock) {
+            while (suspends < many) {
+                lock.wait();
+            }
         }
     }
 
     /** How often each request was handed to it. */
-    public synchronized Map<String, Integer> spawns() {
-        return new LinkedHashMap<>(spawns);
+    public Map<String, Integer> spawns() {
+        synchronized (lock) {
+            return new LinkedHashMap<>(spawns);
+        }
     }
 
     @Override
     public void close() throws IOException {
         listener.close();
-        cores.shutdownNow();
+        clock.shutdownNow();
+        synchronized (lock) {
+            if (link != null) {
+                link.close();
+            }
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/mothwing/lab/Trial.java
@@ -0,0 +1,153 @@
+package mothwing.lab;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * One description of a trial, played by either stage.
+ *
+ * @param name its name
+ * @param seed of all random numbers of callers, work and faults
+ * @param seconds for which callers ask; what is open then is waited for
+ * @param fleet the machines
+ * @param load what is asked of them
+ * @param faults in order of time
+ * @param rules what has to hold, of {@link Oracles#RULES}
+ */
+record Trial(String name, long seed, double seconds, Fleet fleet, Load load, List<Fault> faults, Set<String> rules) {
+    /** The machine at which servers report. */
+    static final String ANNOUNCE = "announce";
+    /** Behind a server's name: the process that is to go in its upgrade. */
+    static final String OLD = ".old";
+    /** Behind a server's name: the process that follows. */
+    static final String NEW = ".new";
+    /** The class that must run once. */
+    static final String ORDER = Stand.ORDER;
+
+    /**
+     * The machines.
+     *
+     * @param servers shop servers, s1 and on, each with a pool (s1.pool)
+     * @param cores of a pool
+     * @param workMs mean milliseconds of work of a request
+     * @param spread of it, as a share to either side
+     * @param deadlineMs by which an answer is due
+     * @param memoryMb most resident memory of a process
+     * @param sockets most descriptors of a process
+     * @param stopMs from the notice to leave to the end
+     */
+    record Fleet(int servers, int cores, double workMs, double spread, long deadlineMs, int memoryMb, int sockets,
+            long stopMs) {
+        static final Fleet USUAL = new Fleet(3, 2, 60, 0.3, 4500, 192, 1024, 3200);
+    }
+
+    /** How a gateway chooses. */
+    enum Habit {
+        /** One after the other. */
+        ROUND_ROBIN,
+        /** The same until it fails. */
+        STICK,
+        /** One after the other of those whose health checks are good. */
+        CHECKED
+    }
+
+    /**
+     * What is asked.
+     *
+     * @param rate requests a second, without further tries
+     * @param orders share of them that must run once
+     * @param gateways g1 and on
+     * @param habits how they choose, in turn
+     * @param heed share of them that heed advice to stay away
+     * @param retries further tries of a caller, at most
+     * @param backoffMs mean time before one
+     * @param patienceMs after which a gateway stops waiting
+     */
+    record Load(double rate, double orders, int gateways, List<Habit> habits, double heed, int retries, double backoffMs,
+            long patienceMs) {
+        static final Load USUAL = new Load(30, 0.3, 2, List.of(Habit.ROUND_ROBIN), 0.5, 2, 200, 5000);
+
+        Load {
+            habits = List.copyOf(habits);
+        }
+    }
+
+    Trial {
+        faults = faults.stream().sorted(Comparator.comparingDouble(Fault::at)).toList();
+        rules = Set.copyOf(rules);
+    }
+
+    List<String> servers() {
+        return numbered("s", fleet.servers());
+    }
+
+    List<String> gateways() {
+        return numbered("g", load.gateways());
+    }
+
+    /** All names that a fault may use. */
+    Set<String> machines() {
+        Set<String> all = new TreeSet<>(servers());
+        servers().forEach(one -> all.add(pool(one)));
+        all.addAll(gateways());
+        all.add(ANNOUNCE);
+        return all;
+    }
+
+    /** The server to which a process belongs, or the name itself. */
+    static String machine(String name) {
+        return name.endsWith(OLD) || name.endsWith(NEW) ? name.substring(0, name.length() - OLD.length()) : name;
+    }
+
+    static String pool(String server) {
+        return server + ".pool";
+    }
+
+    private static List<String> numbered(String letter, int many) {
+        return IntStream.rangeClosed(1, many).mapToObj(i -> letter + i).toList();
+    }
+
+    Trial withFaults(List<Fault> other) {
+        return new Trial(name, seed, seconds, fleet, load, other, rules);
+    }
+
+    Trial withSeed(long other) {
+        return new Trial(name, other, seconds, fleet, load, faults, rules);
+    }
+
+    Trial withSeconds(double other) {
+        return new Trial(name, seed, other, fleet, load, faults, rules);
+    }
+
+    Trial withFleet(int servers, int gateways) {
+        Fleet f = fleet;
+        Load l = load;
+        return new Trial(name, seed, seconds, new Fleet(servers, f.cores, f.workMs, f.spread, f.deadlineMs, f.memoryMb,
+                f.sockets, f.stopMs), new Load(l.rate, l.orders, gateways, l.habits, l.heed, l.retries, l.backoffMs,
+                l.patienceMs), faults, rules);
+    }
+
+    /** A script that makes this trial again. */
+    String script() {
+        List<String> lines = new ArrayList<>();
+        lines.add("trial(name = \"" + name + "\", seconds = " + Fault.number(seconds) + ", seed = " + seed + ")");
+        lines.add("fleet(servers = " + fleet.servers + ", cores = " + fleet.cores + ", work_ms = "
+                + Fault.number(fleet.workMs) + ", spread = " + Fault.number(fleet.spread) + ",\n      deadline_ms = "
+                + fleet.deadlineMs + ", memory_mb = " + fleet.memoryMb + ", sockets = " + fleet.sockets + ", stop_ms = "
+                + fleet.stopMs + ")");
+        lines.add("traffic(rate = " + Fault.number(load.rate) + ", orders = " + Fault.number(load.orders) + ", gateways = "
+                + load.gateways + ", habits = [" + load.habits.stream()
+                        .map(one -> "\"" + one.name().toLowerCase(Locale.ROOT) + "\"").collect(Collectors.joining(", "))
+                + "],\n        heed = " + Fault.number(load.heed) + ", retries = " + load.retries + ", backoff_ms = "
+                + Fault.number(load.backoffMs) + ", patience_ms = " + load.patienceMs + ")");
+        lines.add("rules([\"" + String.join("\", \"", new TreeSet<>(rules)) + "\"])");
+        faults.forEach(one -> lines.add(one.script()));
+        return String.join("\n", lines) + "\n";
+    }
+}
--- a/src/main/java/mothwing/script/Arguments.java
+++ b/src/main/java/mothwing/script/Arguments.java
@@ -126,6 +126,52 @@
         return value;
     }
 
+    /**
+     * A number that may be left out.
+     *
+     * @param name the argument's name
+     * @param usual its value where it is not given
+     * @param least the least allowed
+     * @param most the most allowed
+     * @return its value
+     * @throws ScriptError where it is none, or out of bounds
+     */
+    public double number(String name, double usual, double least, double most) throws ScriptError {
+        Object given = any(-1, name, (Object) usual);
+        double value = given instanceof Long whole ? whole : typed(name, given, Double.class, "a number");
+        if (!(value >= least && value <= most)) {
+            throw wrong("argument " + name + " is " + value + ", expected " + least + " to " + most);
+        }
+        return value;
+    }
+
+    /**
+     * A yes or no that may be left out.
+     *
+     * @param name the argument's name
+     * @param usual its value where it is not given
+     * @return its value
+     * @throws ScriptError where it is neither
+     */
+    public boolean mark(String name, boolean usual) throws ScriptError {
+        return typed(name, any(-1, name, (Object) usual), Boolean.class, "True or False");
+    }
+
+    /**
+     * An argument by its place or its name.
+     *
+     * @param index its place
+     * @param name its name
+     * @param type the type of its value
+     * @param wanted what it is, for complaints
+     * @param <T> the type of its value
+     * @return its value
+     * @throws ScriptError where it is missing or of another type
+     */
+    public <T> T given(int index, String name, Class<T> type, String wanted) throws ScriptError {
+        return any(index, name, type, wanted);
+    }
+
     /**
      * A list, each item of one type, that may be left out.
      *
--- a/src/test/java/mothwing/LayersTest.java
+++ b/src/test/java/mothwing/LayersTest.java
@@ -16,6 +16,7 @@
     /** From the top down; what stands together stands in one layer. */
     private static final List<List<String>> LAYERS = List.of(
             List.of("cli"),
+            List.of("lab"),
             List.of("server", "adapter"),
             List.of("fastcgi", "ajp", "dns.server", "pool", "announce", "management"),
             List.of("net"),
--- a/src/test/java/mothwing/announce/AnnouncerTest.java
+++ b/src/test/java/mothwing/announce/AnnouncerTest.java
@@ -11,7 +11,7 @@
 import java.util.List;
 import java.util.function.Supplier;
 import mothwing.net.Connection;
-import mothwing.testing.Stand;
+import mothwing.lab.Stand;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
--- a/src/test/java/mothwing/broker/BrokerTest.java
+++ b/src/test/java/mothwing/broker/BrokerTest.java
@@ -13,8 +13,8 @@
 import mothwing.OverloadControl.Request;
 import mothwing.OverloadControl.RequestClass;
 import mothwing.OverloadControl.Settings;
-import mothwing.testing.Gateway;
-import mothwing.testing.Stand;
+import mothwing.lab.Gateway;
+import mothwing.lab.Stand;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/mothwing/cli/CommandsTest.java
+++ b/src/test/java/mothwing/cli/CommandsTest.java
@@ -17,8 +17,8 @@
 import java.util.List;
 import mothwing.server.Config;
 import mothwing.server.Server;
-import mothwing.testing.Stand;
-import mothwing.testing.StandInPool;
+import mothwing.lab.Stand;
+import mothwing.lab.StandInPool;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
--- a/src/test/java/mothwing/management/DoorTest.java
+++ b/src/test/java/mothwing/management/DoorTest.java
@@ -10,7 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import mothwing.testing.Stand;
+import mothwing.lab.Stand;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
--- a/src/test/java/mothwing/server/UpgradeTest.java
+++ b/src/test/java/mothwing/server/UpgradeTest.java
@@ -14,12 +14,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
-import mothwing.testing.Answer;
-import mothwing.testing.Gateway;
-import mothwing.testing.Served;
-import mothwing.testing.Stand;
-import mothwing.testing.StandInPool;
-import mothwing.testing.Till;
+import mothwing.lab.Answer;
+import mothwing.lab.Gateway;
+import mothwing.lab.Served;
+import mothwing.lab.Stand;
+import mothwing.lab.StandInPool;
+import mothwing.lab.Till;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -102,7 +102,7 @@
                 next.awaitYes();
                 await(100);
                 old.leave();
-                assertEquals(0, old.process.waitFor(), old.lines::toString);
+                assertEquals(0, old.await(), old.lines::toString);
                 await(100);
                 over = true;
                 for (Thread caller : callers) {
@@ -131,7 +131,7 @@
                 Served old = new Served(folder, Served.number(port), Served.number(one), first)) {
             old.awaitYes();
             try (Served next = new Served(folder, Served.number(port), Served.number(one), second)) { // its door is taken
-                assertNotEquals(0, next.process.waitFor());
+                assertNotEquals(0, next.await());
             }
             try (Till till = new Till(new Gateway.FastCgi(),
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), Served.number(port)))) {
@@ -139,7 +139,7 @@
                 assertEquals(200, till.answer().status());
             }
             old.leave();
-            assertEquals(0, old.process.waitFor());
+            assertEquals(0, old.await());
             assertTrue(old.lines.stream().anyMatch(line -> line.contains(" handover=false")), old.lines::toString);
         }
     }
--- a/src/test/java/mothwing/testing/FrontModel.java
+++ b/src/test/java/mothwing/testing/FrontModel.java
@@ -12,6 +12,9 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import mothwing.lab.Gateway;
+import mothwing.lab.Answer;
+import mothwing.lab.Stand;
 import mothwing.OverloadControl.Outcome;
 import mothwing.net.Connection;
 
