Play trials on virtual time, draw and shrink schedules, catch planted breaches

Need: thousands of schedules a minute, a failing one made small, and oracles that are seen to catch what they should.

--- a/src/main/java/mothwing/cli/Commands.java
+++ b/src/main/java/mothwing/cli/Commands.java
@@ -69,6 +69,9 @@
                 option("s", "seed", "N", "in place of the script's"), Command.mark("simulate", "on virtual time"),
                 option("n", "seeds", "K", "so many seeds in turn"), report),
                 (line, to) -> Trials.run(Path.of(line.getArgList().get(0)), asked(line), to.out())));
+        add(new Command("trial shrink", "FILE", "make a failing trial smaller; prints a script that fails alike", List.of(
+                option("s", "seed", "N", "in place of the script's"), Command.mark("simulate", "on virtual time")),
+                (line, to) -> Trials.shrink(Path.of(line.getArgList().get(0)), asked(line), to.out())));
         add(new Command("version", "print the version", (line, to) -> {
             to.out().println("mothwing " + Commands.class.getPackage().getImplementationVersion());
             return 0;
--- a/src/main/java/mothwing/lab/Callers.java
+++ b/src/main/java/mothwing/lab/Callers.java
@@ -16,6 +16,7 @@
     private final Random random;
     private final List<Shopfront> gateways;
     private long until;
+    private long nextAt;
     private int orders;
     private int waiting;
 
@@ -27,14 +28,15 @@
     }
 
     void start() {
-        until = timers.now() + (long) (trial.seconds() * SECOND);
+        nextAt = timers.now();
+        until = nextAt + (long) (trial.seconds() * SECOND);
         next();
     }
 
     private void next() {
-        long at = timers.now() + (long) (-Math.log(1 - random.nextDouble()) * SECOND / trial.load().rate());
-        if (at < until) {
-            timers.at(at, () -> {
+        nextAt += (long) (-Math.log(1 - random.nextDouble()) * SECOND / trial.load().rate()); // a late one delays none
+        if (nextAt < until) {
+            timers.at(nextAt, () -> {
                 ask();
                 next();
             });
--- a/src/main/java/mothwing/lab/Guarded.java
+++ b/src/main/java/mothwing/lab/Guarded.java
@@ -61,11 +61,11 @@
         }
     }
 
-    /** This runtime, with some options, as this program was started. */
-    static List<String> java(List<String> options, String... arguments) {
+    /** This runtime with some options, on the class path of this process. */
+    static List<String> java(List<String> options, String program, String... arguments) {
         List<String> all = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         all.addAll(options);
-        all.addAll(List.of("-cp", System.getProperty("java.class.path"), "mothwing.Main"));
+        all.addAll(List.of("-cp", System.getProperty("java.class.path"), program));
         all.addAll(List.of(arguments));
         return all;
     }
--- a/src/main/java/mothwing/lab/History.java
+++ b/src/main/java/mothwing/lab/History.java
@@ -92,8 +92,8 @@
         }
     }
 
-    /** What a process took at a moment: resident kilobytes and open descriptors. */
-    record Size(String machine, int life, long at, long kilobytes, int descriptors) {
+    /** What a process took at a moment: resident kilobytes, open descriptors, processor time since its start in ms. */
+    record Size(String machine, int life, long at, long kilobytes, int descriptors, long processorMs) {
     }
 
     /** A fault as it was applied; until is the trial's end where it was not taken back. */
--- a/src/main/java/mothwing/lab/ProcessStage.java
+++ b/src/main/java/mothwing/lab/ProcessStage.java
@@ -78,6 +78,7 @@
     }
 
     private final Path folder;
+    private final String program;
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final ExecutorService hands = Executors.newCachedThreadPool(work -> daemon(work, "rig-hand"));
@@ -97,12 +98,18 @@
     private boolean over;
 
     /**
-     * Makes one.
+     * Makes one that plays this program.
      *
      * @param folder where the machines' disks and the logs lie
      */
     ProcessStage(Path folder) {
+        this(folder, "mothwing.Main");
+    }
+
+    /** Makes one that plays another main class, which is started as {@code serve --config FILE}. */
+    ProcessStage(Path folder, String program) {
         this.folder = folder;
+        this.program = program;
     }
 
     private static Thread daemon(Runnable work, String name) {
@@ -243,7 +250,7 @@
             for (String line : Files.readAllLines(proc.resolve("status"))) {
                 if (line.startsWith("VmRSS:")) {
                     history.sizes.add(new History.Size(machine.name, running.life.life, epoch.now(),
-                            Long.parseLong(line.replaceAll("[^0-9]", "")), descriptors));
+                            Long.parseLong(line.replaceAll("[^0-9]", "")), descriptors, processorMs(proc)));
                 }
             }
         } catch (IOException | UncheckedIOException gone) {
@@ -251,6 +258,13 @@
         }
     }
 
+    /** Processor time of a process, in steps of the kernel's clock tick, which is 10 ms on all common machines. */
+    private static long processorMs(Path proc) throws IOException {
+        String stat = Files.readString(proc.resolve("stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 10; // user and system time
+    }
+
     // processes
 
     private Running start(Machine machine, Random work) throws IOException {
@@ -269,7 +283,7 @@
         Served process = new Served(machine.disk, new Served.Place(machine.name,
                 new InetSocketAddress(address(1, machine.number), Served.number(machine.listen)),
                 new InetSocketAddress(address(1, machine.number), Served.number(door)), poolDoor, machine.announce),
-                trial.fleet(), List.of(), line -> append(log, line));
+                trial.fleet(), program, line -> append(log, line));
         history.lives.add(life);
         Running running = new Running(process, pool, door, life);
         process.ended().thenAccept(status -> {
@@ -470,7 +484,7 @@
     }
 
     private void leave(Machine machine, Running who, long patienceMs) throws IOException, InterruptedException {
-        if (who == null) {
+        if (who == null || !who.process.alive()) {
             return;
         }
         who.life.noticeAt = epoch.now();
--- a/src/main/java/mothwing/lab/Served.java
+++ b/src/main/java/mothwing/lab/Served.java
@@ -38,17 +38,15 @@
 
     /** Starts one for clients at a port, in front of a pool; all its addresses are on loopback. */
     public Served(Path folder, int port, int door, StandInPool pool) throws IOException {
-        this(folder, place(port, door, pool), new Trial.Fleet(1, 4, 0, 0, 4500, 192, 256, 3200), List.of(), line -> { });
+        this(folder, place(port, door, pool), new Trial.Fleet(1, 4, 0, 0, 4500, 192, 256, 3200), "mothwing.Main", line -> { });
     }
 
     /** Starts one in a folder that is its machine's disk. */
-    Served(Path folder, Place place, Trial.Fleet fleet, List<String> before, Consumer<String> log) throws IOException {
+    Served(Path folder, Place place, Trial.Fleet fleet, String program, Consumer<String> log) throws IOException {
         this.door = place.door();
         Files.createDirectories(folder);
         Path file = Files.writeString(folder.resolve("config-" + door.getPort() + ".json"), config(place, fleet));
-        List<String> command = new ArrayList<>(before);
-        command.addAll(Guarded.java(OPTIONS, "serve", "--config", file.toString()));
-        process = new Guarded(command, line -> {
+        process = new Guarded(Guarded.java(OPTIONS, program, "serve", "--config", file.toString()), line -> {
             if (lines.size() < MOST_LINES) {
                 lines.add(line);
             }
--- a/src/main/java/mothwing/lab/Trial.java
+++ b/src/main/java/mothwing/lab/Trial.java
@@ -18,9 +18,11 @@
  * @param fleet the machines
  * @param load what is asked of them
  * @param faults in order of time
+ * @param drawn bounds of further faults, which the seed says, or null for none
  * @param rules what has to hold, of {@link Oracles#RULES}
  */
-record Trial(String name, long seed, double seconds, Fleet fleet, Load load, List<Fault> faults, Set<String> rules) {
+record Trial(String name, long seed, double seconds, Fleet fleet, Load load, List<Fault> faults, Drawn drawn,
+        Set<String> rules) {
     /** The machine at which servers report. */
     static final String ANNOUNCE = "announce";
     /** Behind a server's name: the process that is to go in its upgrade. */
@@ -114,15 +116,25 @@
     }
 
     Trial withFaults(List<Fault> other) {
-        return new Trial(name, seed, seconds, fleet, load, other, rules);
+        return new Trial(name, seed, seconds, fleet, load, other, drawn, rules);
+    }
+
+    /** This trial with the faults that its seed draws, as a schedule of its own. */
+    Trial settled() {
+        if (drawn == null) {
+            return this;
+        }
+        List<Fault> all = new ArrayList<>(faults);
+        all.addAll(drawn.draw(this));
+        return new Trial(name, seed, seconds, fleet, load, all, null, rules);
     }
 
     Trial withSeed(long other) {
-        return new Trial(name, other, seconds, fleet, load, faults, rules);
+        return new Trial(name, other, seconds, fleet, load, faults, drawn, rules);
     }
 
     Trial withSeconds(double other) {
-        return new Trial(name, seed, other, fleet, load, faults, rules);
+        return new Trial(name, seed, other, fleet, load, faults, drawn, rules);
     }
 
     Trial withFleet(int servers, int gateways) {
@@ -130,7 +142,7 @@
         Load l = load;
         return new Trial(name, seed, seconds, new Fleet(servers, f.cores, f.workMs, f.spread, f.deadlineMs, f.memoryMb,
                 f.sockets, f.stopMs), new Load(l.rate, l.orders, gateways, l.habits, l.heed, l.retries, l.backoffMs,
-                l.patienceMs), faults, rules);
+                l.patienceMs), faults, drawn, rules);
     }
 
     /** A script that makes this trial again. */
@@ -147,6 +159,10 @@
                 + "],\n        heed = " + Fault.number(load.heed) + ", retries = " + load.retries + ", backoff_ms = "
                 + Fault.number(load.backoffMs) + ", patience_ms = " + load.patienceMs + ")");
         lines.add("rules([\"" + String.join("\", \"", new TreeSet<>(rules)) + "\"])");
+        if (drawn != null) {
+            lines.add("drawn(faults = " + drawn.faults() + ", longest = " + Fault.number(drawn.longest()) + ", kinds = [\""
+                    + drawn.kinds().stream().sorted().map(Fault.Kind::word).collect(Collectors.joining("\", \"")) + "\"])");
+        }
         faults.forEach(one -> lines.add(one.script()));
         return String.join("\n", lines) + "\n";
     }
--- a/src/main/java/mothwing/lab/TrialScript.java
+++ b/src/main/java/mothwing/lab/TrialScript.java
@@ -35,6 +35,7 @@
     private Fleet fleet = Fleet.USUAL;
     private Load load = Load.USUAL;
     private Set<String> rules = Set.copyOf(Oracles.RULES);
+    private Drawn drawn;
     private final List<Written> written = new ArrayList<>();
 
     private TrialScript() {
@@ -59,6 +60,7 @@
         all.put("traffic", script::traffic);
         all.put("rules", script::rules);
         all.put("at", script::at);
+        all.put("drawn", script::drawn);
         for (Fault.Kind kind : Fault.Kind.values()) {
             all.put(kind.word(), call -> fault(kind, call));
         }
@@ -71,7 +73,7 @@
 
     private Trial whole() throws ScriptError {
         List<Fault> faults = new ArrayList<>();
-        Trial bare = new Trial(name, seed, seconds, fleet, load, List.of(), rules);
+        Trial bare = new Trial(name, seed, seconds, fleet, load, List.of(), drawn, rules);
         Set<String> known = bare.machines();
         for (Written one : written) {
             for (String machine : one.fault.machines()) {
@@ -179,6 +181,23 @@
         return null;
     }
 
+    private Object drawn(Arguments call) throws ScriptError {
+        once(drawn, call);
+        Set<Fault.Kind> kinds = new TreeSet<>();
+        for (String one : call.list("kinds", String.class, "a fault's name")) {
+            try {
+                kinds.add(Fault.Kind.valueOf(one.toUpperCase(Locale.ROOT)));
+            } catch (IllegalArgumentException unknown) {
+                throw call.wrong("argument kinds has \"" + one + "\", expected some of " + Drawn.BOTH.stream().sorted()
+                        .map(Fault.Kind::word).toList());
+            }
+        }
+        drawn = new Drawn((int) call.whole("faults", 5, 1, 1000), call.number("longest", 2, 0.1, 60),
+                kinds.isEmpty() ? Drawn.BOTH : kinds);
+        call.done(0);
+        return null;
+    }
+
     private static List<String> names(Arguments call, int place, String name) throws ScriptError {
         List<String> all = new ArrayList<>();
         for (Object one : call.given(place, name, List.class, "a list of machines")) {
--- a/src/main/java/mothwing/lab/Trials.java
+++ b/src/main/java/mothwing/lab/Trials.java
@@ -15,6 +15,8 @@
 /** What the sub-commands {@code trial} and {@code demo} do. */
 public final class Trials {
     private static final int MOST_TOLD = 5; // breaches of one rule that are printed
+    private static final int MOST_SIMULATED = 400; // plays of a shrink
+    private static final int MOST_PLAYED = 24;
     /** The trial of {@code demo}: it needs no file. */
     private static final String DEMO = """
             trial(name = "demo", seconds = 9, seed = 1)
@@ -68,13 +70,21 @@
     private static int run(Trial given, Asked asked, PrintStream out) throws IOException, InterruptedException {
         int worst = 0;
         for (int i = 0; i < asked.seeds(); i++) {
-            Trial trial = given.withSeed((asked.seed() == null ? given.seed() : asked.seed()) + i);
+            Trial trial = given.withSeed((asked.seed() == null ? given.seed() : asked.seed()) + i).settled();
             Path report = asked.report() == null || asked.seeds() == 1 ? asked.report()
                     : asked.report().resolve("seed-" + trial.seed());
-            out.println("trial " + trial.name() + ", seed " + trial.seed() + (asked.simulate() ? ", simulated" : ""));
-            History history = play(trial, out);
+            boolean brief = asked.simulate() && asked.seeds() > 1;
+            if (!brief) {
+                out.println("trial " + trial.name() + ", seed " + trial.seed() + (asked.simulate() ? ", simulated" : ""));
+            }
+            History history = asked.simulate() ? new SimulationStage().play(trial, line -> { }) : play(trial, out);
             Verdict verdict = Oracles.judge(trial, history);
-            print(trial, history, verdict, out);
+            if (!brief) {
+                print(trial, history, verdict, out);
+            } else if (verdict.status() != 0) {
+                out.println("seed " + trial.seed() + ":");
+                told(trial, verdict, out);
+            }
             if (report != null) {
                 Files.createDirectories(report);
                 Files.writeString(report.resolve("trial.star"), trial.script());
@@ -82,9 +92,45 @@
             }
             worst = worst == 1 || verdict.status() == 1 ? 1 : Math.max(worst, verdict.status());
         }
+        if (asked.seeds() > 1) {
+            out.println(asked.seeds() + " seeds, " + (worst == 0 ? "all rules held"
+                    : worst == 1 ? "a rule broke" : "no verdict of some"));
+        }
         return worst;
     }
 
+    /**
+     * Makes a failing trial smaller and prints a script that fails in the same way.
+     *
+     * @param file the script
+     * @param asked which seed, and on which stage
+     * @param out takes the script
+     * @return 1 where a rule broke, and 0 where none did
+     * @throws IOException where the script is wrong, or a stage cannot be begun
+     * @throws InterruptedException where the wait is broken off
+     */
+    public static int shrink(Path file, Asked asked, PrintStream out) throws IOException, InterruptedException {
+        Trial given = TrialScript.read(file);
+        Trial trial = (asked.seed() == null ? given : given.withSeed(asked.seed())).settled();
+        Verdict first = judged(trial, asked.simulate());
+        if (first.breaches().isEmpty()) {
+            out.println("# all rules held: there is nothing to shrink");
+            return 0;
+        }
+        String rule = first.breaches().get(0).rule();
+        Trial small = Shrinker.shrink(trial, one -> judged(one, asked.simulate()).breaches().stream()
+                .anyMatch(breach -> breach.rule().equals(rule)), asked.simulate() ? MOST_SIMULATED : MOST_PLAYED);
+        out.println("# breaks " + rule + ": " + judged(small, asked.simulate()).breaches().stream()
+                .filter(breach -> breach.rule().equals(rule)).map(Breach::words).findFirst().orElse("not in the last play"));
+        out.print(small.script());
+        return 1;
+    }
+
+    private static Verdict judged(Trial trial, boolean simulate) throws IOException, InterruptedException {
+        PrintStream silent = new PrintStream(java.io.OutputStream.nullOutputStream());
+        return Oracles.judge(trial, simulate ? new SimulationStage().play(trial, line -> { }) : play(trial, silent));
+    }
+
     private static History play(Trial trial, PrintStream out) throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("mothwing-trial");
         try (ProcessStage stage = new ProcessStage(folder)) {
@@ -104,6 +150,10 @@
         out.printf(Locale.ROOT, "  writes: %d; across the fleet %d ran twice (%.1f in 1,000), %d answered and forgotten (%.1f),"
                 + " %d ran and went unanswered%n", all.orders(), all.ranTwice(), all.perThousand(all.ranTwice()),
                 all.forgotten(), all.perThousand(all.forgotten()), all.ranUnanswered());
+        told(trial, verdict, out);
+    }
+
+    private static void told(Trial trial, Verdict verdict, PrintStream out) {
         Map<String, List<Breach>> rules = new TreeMap<>();
         verdict.breaches().forEach(one -> rules.computeIfAbsent(one.rule(), none -> new ArrayList<>()).add(one));
         rules.forEach((rule, breaches) -> {
