Take SIGHUP also where the starter ignores it, and say so where it cannot be

Hangup.handle took that for success.

The other starters, timers and the module are not at fault: without gauges and without a pool the server refused, as it should.

HangupTest starts servers whose starter ignores the signal.

In the rig: stop and kill of s1.old and s1.new mean the same process until the end, a process killed at its start by the rig is no trouble, a stop puts off the SIGKILL of an upgrade, and runs are told apart by the process that asked for them: 15 of 28 upgrade trials had accused the server for these.

--- a/src/main/java/mothwing/cli/Dns.java
+++ b/src/main/java/mothwing/cli/Dns.java
@@ -14,8 +14,9 @@
     static int run(Path settings, PrintStream out) throws IOException, InterruptedException {
         LineLog log = new LineLog(out);
         DnsService service = new DnsService(settings, log);
-        if (!Hangup.handle(service::reload)) {
-            log.line("reload-failed what=\"this runtime takes no SIGHUP\"");
+        String noHangups = Hangup.handle(service::reload);
+        if (noHangups != null) {
+            log.line("no-reloads what=\"" + noHangups + "\"");
         }
         service.start();
         Foreground.leaveOnSignal(service, log);
--- a/src/main/java/mothwing/cli/Hangup.java
+++ b/src/main/java/mothwing/cli/Hangup.java
@@ -14,9 +14,9 @@
      * Runs something at every SIGHUP from now on, on a thread of the runtime.
      *
      * @param work what to do
-     * @return false where the runtime has no such signals, in which case nothing has changed
+     * @return null, or why it will not come: then nothing has changed
      */
-    static boolean handle(Runnable work) {
+    static String handle(Runnable work) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -30,11 +30,13 @@
                         case "equals" -> self == arguments[0];
                         default -> "hangup";
                     });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), taker);
-            return true;
+            // The runtime leaves a signal ignored that was so when it started, and says so only by this value.
+            return handler.getField("SIG_IGN").get(null) != before ? null : "SIGHUP is ignored by whoever started this process"
+                    + " (nohup does so): start it by way of env --default-signal=HUP";
         } catch (ReflectiveOperationException none) {
-            return false;
+            return "this runtime takes no SIGHUP";
         }
     }
 }
--- a/src/main/java/mothwing/cli/Serve.java
+++ b/src/main/java/mothwing/cli/Serve.java
@@ -20,11 +20,11 @@
         // Netty would look for the logging library of the DNS part first, and load it.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         CompletableFuture<Reload> started = new CompletableFuture<>();
-        boolean hangups = Hangup.handle(() -> started.thenAccept(Reload::again)); // early: the default ends it
+        String noHangups = Hangup.handle(() -> started.thenAccept(Reload::again)); // early: the default ends it
         Config config = Config.read(path);
         LineLog log = new LineLog(out);
-        if (!hangups) {
-            log.line("reload-failed what=\"this runtime takes no SIGHUP\"");
+        if (noHangups != null) {
+            log.line("no-reloads what=\"" + noHangups + "\"");
         }
         Server server = new Server(config, ajp == null ? null : Config.readListen(Path.of(ajp)), log);
         Foreground.leaveOnSignal(server, log);
--- a/src/main/java/mothwing/lab/History.java
+++ b/src/main/java/mothwing/lab/History.java
@@ -104,17 +104,15 @@
     record Listed(long at, String gateway, List<String> servers) {
     }
 
-    /** The journal of one life of one machine's pool. */
+    /** The journal of one machine's pool. */
     final class Journal {
         private final String machine;
-        private final int life;
 
-        Journal(String machine, int life) {
+        Journal(String machine) {
             this.machine = machine;
-            this.life = life;
         }
 
-        Run began(String id, String kind, byte[] body, long now) {
+        Run began(int life, String id, String kind, byte[] body, long now) {
             Run run = new Run(machine, life, id, new String(body, StandardCharsets.UTF_8), kind, now);
             runs.add(run);
             return run;
@@ -139,13 +137,13 @@
     /** What the rig could not do, in words: then there is no verdict. */
     final List<String> troubles = Collections.synchronizedList(new ArrayList<>());
 
-    Journal journal(String machine, int life) {
-        return new Journal(machine, life);
+    Journal journal(String machine) {
+        return new Journal(machine);
     }
 
     /** A journal that nobody reads. */
     static Journal unread() {
-        return new History().journal("none", 0);
+        return new History().journal("none");
     }
 
     /**
--- a/src/main/java/mothwing/lab/PoolCores.java
+++ b/src/main/java/mothwing/lab/PoolCores.java
@@ -68,14 +68,14 @@
         last = timers.now();
     }
 
-    /** Begins a run, unless there is one of that name. */
-    void spawn(String id, String kind, byte[] body, Ends ends) {
+    /** Begins a run for one life of the server, unless there is one of that name. */
+    void spawn(String id, String kind, byte[] body, int life, Ends ends) {
         if (off || running.containsKey(id) || paused.containsKey(id)) {
             return;
         }
         advance();
         double ms = work.meanMs() * (1 + work.spread() * (2 * random.nextDouble() - 1));
-        running.put(id, new Job(body, ends, journal.began(id, kind, body, timers.now()),
+        running.put(id, new Job(body, ends, journal.began(life, id, kind, body, timers.now()),
                 work.meanMs() < 0 ? UNENDING : Math.max(1, ms * 1000)));
         plan();
     }
--- a/src/main/java/mothwing/lab/ProcessStage.java
+++ b/src/main/java/mothwing/lab/ProcessStage.java
@@ -46,6 +46,21 @@
         final StandInPool pool;
         final SocketChannel door;
         final History.Life life;
+        private long stillSince = -1;
+        private long stoodStill;
+
+        /** Microseconds for which it has stood still. */
+        synchronized long stood() {
+            return stoodStill + (stillSince < 0 ? 0 : epoch.now() - stillSince);
+        }
+
+        synchronized void still(boolean still) throws IOException {
+            if (still == stillSince < 0) {
+                stoodStill = stood();
+                stillSince = still ? epoch.now() : -1;
+                process.signal(still ? "STOP" : "CONT");
+            }
+        }
 
         Running(Served process, StandInPool pool, SocketChannel door, History.Life life) {
             this.process = process;
@@ -66,6 +81,8 @@
         final List<Running> running = new CopyOnWriteArrayList<>(); // the oldest first
         PoolCores cores;
         volatile Running now;
+        volatile Running old; // that which is to go in an upgrade, once there was one
+        volatile Running next; // that which follows it
         int starts;
         final List<Guarded> crowd = new ArrayList<>();
 
@@ -270,11 +287,10 @@
     private Running start(Machine machine, Random work) throws IOException {
         if (machine.cores == null) {
             machine.cores = new PoolCores(new PoolCores.Work(trial.fleet().cores(), trial.fleet().workMs(),
-                    trial.fleet().spread()), epoch.on(loop, machine.lock), work,
-                    history.journal(machine.name, machine.starts + 1));
+                    trial.fleet().spread()), epoch.on(loop, machine.lock), work, history.journal(machine.name));
         }
         machine.starts++;
-        StandInPool pool = new StandInPool(address(4, machine.number), machine.cores, machine.lock);
+        StandInPool pool = new StandInPool(address(4, machine.number), machine.cores, machine.lock, machine.starts);
         InetSocketAddress poolDoor = relay.open(Trial.pool(machine.name), machine.name, address(5, machine.number),
                 pool.address());
         SocketChannel door = Served.port(address(1, machine.number));
@@ -386,6 +402,8 @@
                             return; // one of its processes goes on
                         }
                         machine.cores = null;
+                        machine.old = null;
+                        machine.next = null;
                         Running again = start(machine, new Random(trial.seed() + machine.starts));
                         awaitReady(again);
                         loop.execute(() -> register.heard(machine.name));
@@ -465,7 +483,7 @@
 
     private void still(Machine machine, String who, boolean still) throws IOException {
         for (Running one : chosen(machine, who)) {
-            one.process.signal(still ? "STOP" : "CONT");
+            one.still(still);
         }
         if (who.equals(machine.name)) {
             synchronized (machine.lock) {
@@ -476,11 +494,13 @@
 
     /** The processes that a name means: all of a machine, the old one or the new one of an upgrade. */
     private static List<Running> chosen(Machine machine, String who) {
-        List<Running> all = List.copyOf(machine.running);
-        if (who.equals(machine.name) || all.size() < 2) {
-            return who.endsWith(Trial.NEW) ? List.of() : all;
+        List<Running> all = new ArrayList<>(machine.running);
+        if (who.endsWith(Trial.OLD)) {
+            all.removeIf(one -> one != (machine.old == null ? machine.now : machine.old));
+        } else if (who.endsWith(Trial.NEW)) {
+            all.removeIf(one -> one != machine.next);
         }
-        return List.of(all.get(who.endsWith(Trial.OLD) ? 0 : all.size() - 1));
+        return all;
     }
 
     private void leave(Machine machine, Running who, long patienceMs) throws IOException, InterruptedException {
@@ -491,10 +511,10 @@
         who.process.leave();
         long notice = who.life.noticeAt;
         boolean looked = false;
-        long until = notice + patienceMs * MILLI;
-        while (who.process.alive() && epoch.now() < until) {
+        long stood = who.stood();
+        while (who.process.alive() && epoch.now() < notice + patienceMs * MILLI + who.stood() - stood) {
             TimeUnit.MILLISECONDS.sleep(5);
-            if (!looked && epoch.now() > notice + IDLE_AFTER && machine.now == who) {
+            if (!looked && epoch.now() > notice + IDLE_AFTER + who.stood() - stood && machine.now == who) {
                 looked = true;
                 who.life.kept = onLoop(() -> sockets.idle(machine.name, notice + IDLE_AFTER / 2));
                 if (!who.process.alive()) {
@@ -521,8 +541,17 @@
         if (old == null) {
             return;
         }
+        machine.old = old;
         Running next = start(machine, null);
-        awaitReady(next);
+        machine.next = next;
+        try {
+            awaitReady(next);
+        } catch (IOException failed) {
+            if (next.life.killed) {
+                return; // the old one goes on
+            }
+            throw failed;
+        }
         leave(machine, old, Math.min(trial.fleet().deadlineMs(), UPGRADE_LONGEST_MS) + UPGRADE_MORE_MS);
     }
 
--- a/src/main/java/mothwing/lab/SimulationStage.java
+++ b/src/main/java/mothwing/lab/SimulationStage.java
@@ -196,7 +196,7 @@
             life = new History.Life(name, mine, time.now());
             history.lives.add(life);
             PoolCores cores = new PoolCores(new PoolCores.Work(trial.fleet().cores(), trial.fleet().workMs(),
-                    trial.fleet().spread()), time, new Random(work.nextLong()), history.journal(name, mine));
+                    trial.fleet().spread()), time, new Random(work.nextLong()), history.journal(name));
             pool = new PoolLine(this, mine, cores);
             broker = new Broker(settings, maker, pool, timers(mine), new Counters(), line -> { });
             pool.broker = broker;
@@ -508,7 +508,7 @@
                 return false;
             }
             Arrival one = exchange.arrival();
-            command(() -> cores.spawn(one.id(), one.kind(), one.body(), this::ended));
+            command(() -> cores.spawn(one.id(), one.kind(), one.body(), mine, this::ended));
             return true;
         }
 
--- a/src/main/java/mothwing/lab/StandInPool.java
+++ b/src/main/java/mothwing/lab/StandInPool.java
@@ -32,6 +32,7 @@
         return thread;
     });
     private final Object lock;
+    private final int life;
     private final PoolCores cores;
     private final Deque<String> notices = new ArrayDeque<>();
     private final Map<String, Integer> spawns = new LinkedHashMap<>();
@@ -43,15 +44,17 @@
     /** Starts one with cores of its own; work under 0 ms ends only by {@link #release}. */
     public StandInPool(long workMs) throws IOException {
         lock = new Object();
+        life = 1;
         cores = new PoolCores(workMs < 0 ? PoolCores.Work.unending() : PoolCores.Work.fixed(workMs),
                 new Epoch().on(clock, lock), new Random(1), History.unread());
         listener = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
         serve(listener);
     }
 
-    /** Starts one in front of cores that others may share, which are touched under the lock alone. */
-    StandInPool(InetAddress at, PoolCores cores, Object lock) throws IOException {
+    /** Starts one for one life of a server, in front of cores that others may share; they are touched under the lock. */
+    StandInPool(InetAddress at, PoolCores cores, Object lock, int life) throws IOException {
         this.lock = lock;
+        this.life = life;
         this.cores = cores;
         listener = new ServerSocket(0, 16, at);
         serve(listener);
@@ -127,7 +130,7 @@
             case "spawn" -> {
                 spawns.merge(id, 1, Integer::sum);
                 cores.spawn(id, command.get("lane").getAsString(),
-                        Base64.getDecoder().decode(command.get("content").getAsString()), this::ended);
+                        Base64.getDecoder().decode(command.get("content").getAsString()), life, this::ended);
             }
             case "suspend" -> {
                 suspends++;
--- a/src/main/java/mothwing/lab/Trials.java
+++ b/src/main/java/mothwing/lab/Trials.java
@@ -21,7 +21,7 @@
     private static final String DEMO = """
             trial(name = "demo", seconds = 9, seed = 1)
             fleet(servers = 3, cores = 2, work_ms = 40)
-            traffic(rate = 40, gateways = 2, habits = ["round_robin", "checked"])
+            traffic(rate = 60, gateways = 2, habits = ["round_robin", "checked"])
             at(2, kill(["s1"], seconds = 3))
             at(4, cut(["s2"], ["g1"], one_way = True, seconds = 1.5))
             """;
@@ -86,9 +86,8 @@
                 told(trial, verdict, out);
             }
             if (report != null) {
-                Files.createDirectories(report);
-                Files.writeString(report.resolve("trial.star"), trial.script());
-                history.write(report.resolve("history"));
+                Report.write(trial, history, verdict, report);
+                out.println("  report: " + report.resolve("index.html"));
             }
             worst = worst == 1 || verdict.status() == 1 ? 1 : Math.max(worst, verdict.status());
         }
