--- a/src/main/java/mothwing/lab/Relay.java
+++ b/src/main/java/mothwing/lab/Relay.java
@@ -49,6 +49,7 @@
     private final Map<InetSocketAddress, Consumer<Boolean>> awaited = new HashMap<>();
     private final Map<InetSocketAddress, Boolean> reached = new HashMap<>();
     private int datagrams;
+    private int dropped;
 
     Relay(EventLoop loop, Links links, Random random) {
         this.loop = loop;
@@ -119,6 +120,7 @@
         Links.Way way = links.way(names.getOrDefault(packet.sender().getAddress(), ""), receiver);
         ByteBuf bytes = packet.content();
         if (way.cut() || way.swallow() || random.nextDouble() < way.lose() || datagrams >= MOST_DATAGRAMS) {
+            dropped++;
             bytes.release();
             return;
         }
@@ -184,6 +186,11 @@
         return streams.size();
     }
 
+    /** How many datagrams it did not give on. */
+    int dropped() {
+        return dropped;
+    }
+
     @Override
     public void close() {
         synchronized (listeners) {
--- a/src/test/java/mothwing/cli/HangupTest.java
+++ b/src/test/java/mothwing/cli/StartTest.java
@@ -14,17 +14,18 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** A server whose starter ignores SIGHUP, as nohup does: the runtime leaves it ignored and says nothing of it. */
-class HangupTest {
+/** How a server is started: with SIGHUP ignored by its starter, as nohup does, and with nothing that it has no use for. */
+class StartTest {
     @TempDir
     private Path folder;
 
-    private Process start(StandInPool pool, String... between) throws IOException {
+    private Process start(StandInPool pool, List<String> options, String... between) throws IOException {
         Path config = Files.writeString(folder.resolve("config.json"), Served.config(0, 0, pool));
         List<String> command = new ArrayList<>(List.of("/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
         command.addAll(List.of(between));
-        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "mothwing.Main", "serve", "--config", config.toString()));
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(options);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "mothwing.Main", "serve", "--config", config.toString()));
         return new ProcessBuilder(command).redirectErrorStream(true).start();
     }
 
@@ -40,7 +41,7 @@
     @Test
     void anIgnoredSignalIsSaidAtTheStart() throws Exception {
         try (StandInPool pool = new StandInPool(1)) {
-            Process server = start(pool);
+            Process server = start(pool, List.of());
             try (BufferedReader log = server.inputReader()) {
                 assertTrue(next(log, "no-reloads").contains("env --default-signal=HUP"));
             } finally {
@@ -53,7 +54,7 @@
     @Test
     void itsDefaultIsPutBackBeforeTheStart() throws Exception {
         try (StandInPool pool = new StandInPool(1)) {
-            Process server = start(pool, "env", "--default-signal=HUP");
+            Process server = start(pool, List.of(), "env", "--default-signal=HUP");
             try (BufferedReader log = server.inputReader()) {
                 next(log, " start ");
                 assertEquals(0, new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + server.pid()).start().waitFor());
@@ -63,4 +64,23 @@
             }
         }
     }
+
+    /** What is for trials costs a server nothing. */
+    @Test
+    void aServerLoadsNothingOfTheLab() throws Exception {
+        try (StandInPool pool = new StandInPool(1)) {
+            Process server = start(pool, List.of("-Xlog:class+load"));
+            try (BufferedReader log = server.inputReader()) {
+                List<String> loaded = new ArrayList<>();
+                for (String line = log.readLine(); !line.contains(" takes-clients "); line = log.readLine()) {
+                    loaded.add(line);
+                }
+                assertTrue(loaded.stream().anyMatch(line -> line.contains("mothwing.broker.Broker ")));
+                assertTrue(loaded.stream().noneMatch(line -> line.contains("mothwing.lab.") || line.contains("HdrHistogram")),
+                        () -> loaded.stream().filter(line -> line.contains("mothwing.lab.")).toList().toString());
+            } finally {
+                server.destroyForcibly().waitFor();
+            }
+        }
+    }
 }
