Let a rig trouble the disk of the store: full, failing or slow by a control file

Change: TroubledDisk stands in front of the folder where the system property mothwing.disk.control names a file, which no page of the operators does; its line is read before each step. DnsDiskTest has a dns process go through full, failing and slow spells, each twice or between good ones: an update is NOERROR only where it was forced, SERVFAIL else, questions are answered all the while, and all that was acknowledged is there after a kill. DnsProcess starts such a process for it and DnsKillTest.

serve has no store and loads neither. Not taken: a file system in user space or a loop device (privileges, and other programs).

--- a/src/main/java/mothwing/store/Disk.java
+++ b/src/main/java/mothwing/store/Disk.java
@@ -58,7 +58,8 @@
      */
     static Disk of(Path folder) throws IOException {
         Files.createDirectories(folder);
-        return new Folder(folder);
+        String control = System.getProperty(TroubledDisk.PROPERTY);
+        return control == null ? new Folder(folder) : new TroubledDisk(new Folder(folder), Path.of(control));
     }
 
     /** A real folder. */
--- a/src/test/java/mothwing/dns/server/DnsKillTest.java
+++ b/src/test/java/mothwing/dns/server/DnsKillTest.java
@@ -35,22 +35,9 @@
     @TempDir
     private Path folder;
 
-    private Process start() throws IOException {
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
-                "mothwing.Main", "dns", "--settings", folder.resolve("site.star").toString())
-                .redirectErrorStream(true).start();
-        BufferedReader log = process.inputReader();
-        String line = log.readLine();
-        while (line != null && !line.contains(" dns-ready ")) {
-            line = log.readLine();
-        }
-        assertNotNull(line, "it ended before it was ready");
-        String port = line.replaceAll(".*listen=/127.0.0.1:([0-9]+).*", "$1");
-        Thread drain = new Thread(() -> log.lines().forEach(one -> { })); // what is not read would hold it up
-        drain.setDaemon(true);
-        drain.start();
-        serveAt(new InetSocketAddress("127.0.0.1", Integer.parseInt(port)));
+    private DnsProcess start() throws IOException {
+        DnsProcess process = new DnsProcess(folder);
+        serveAt(process.address);
         return process;
     }
 
@@ -124,7 +111,7 @@
     @Test
     void nothingAcknowledgedIsMissingAfterTwentyKills() throws Exception {
         DnsPeer.site(folder, ", journal_bytes = 20000", DnsPeer.HEAD, "till-key");
-        Process process = start();
+        DnsProcess process = start();
         List<Updater> updaters = new ArrayList<>();
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < UPDATERS; i++) {
@@ -138,8 +125,7 @@
             for (int i = 0; i < KILLS; i++) {
                 answers.acquire(5 + random.nextInt(60));
                 serveAt(null);
-                process.destroyForcibly();
-                process.waitFor();
+                process.close();
                 process = start();
             }
             synchronized (this) {
@@ -163,7 +149,7 @@
                     .split(" ")[2]), "each update moves the serial once");
             assertTrue(changes > KILLS * 5);
         } finally {
-            process.destroyForcibly();
+            process.close();
         }
     }
 }
