--- a/src/main/java/mothwing/lab/ProcessStage.java
+++ b/src/main/java/mothwing/lab/ProcessStage.java
@@ -191,6 +191,7 @@
         onLoop(() -> {
             gateways.values().forEach(one -> one.list(all));
             all.forEach(register::heard);
+            register.start();
             return null;
         });
         return run(new Random(random.nextLong()), progress);
--- a/src/main/java/mothwing/lab/Register.java
+++ b/src/main/java/mothwing/lab/Register.java
@@ -23,7 +23,11 @@
         this.timers = timers;
         this.links = links;
         this.gateways = gateways;
-        timers.at(timers.now() + EVERY, this::publish);
+    }
+
+    /** Begins to publish: what servers have reported until then is the first list. */
+    void start() {
+        publish();
     }
 
     /** A server has reported, or its pool has come up. */
--- a/src/main/java/mothwing/lab/SimulationStage.java
+++ b/src/main/java/mothwing/lab/SimulationStage.java
@@ -87,6 +87,8 @@
             machine.start(0);
         }
         gateways.values().forEach(one -> one.list(trial.servers()));
+        trial.servers().forEach(register::heard);
+        register.start();
         Callers callers = new Callers(trial, time, new Random(random.nextLong()), List.copyOf(gateways.values()));
         callers.start();
         for (Fault fault : trial.faults()) {
