Build the core of membership: watchers on a ring, accusers, views, on virtual time

Need: operators want membership whose failure detection bears pauses, lost messages and one-sided cuts; every later subsystem asks it who is there.

MemberNet plays it on virtual time with losses, cuts of one direction, pauses, kills and slow members; members simulate measures it. No server talks to another: the shell is the next part, and serve loads none of it (StartTest reads its class log; members stands in the command line alone).

--- a/src/main/java/mothwing/cli/Commands.java
+++ b/src/main/java/mothwing/cli/Commands.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import mothwing.adapter.Adapter;
 import mothwing.cli.Command.Streams;
+import mothwing.lab.MemberFigures;
 import mothwing.lab.Trials;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -72,6 +73,11 @@
         add(new Command("trial shrink", "FILE", "make a failing trial smaller; prints a script that fails alike", List.of(
                 option("s", "seed", "N", "in place of the script's"), Command.mark("simulate", "on virtual time")),
                 (line, to) -> Trials.shrink(Path.of(line.getArgList().get(0)), asked(line), to.out())));
+        add(new Command("members simulate", "measure membership on virtual time: kills, a split, slow members, lost messages",
+                (line, to) -> MemberFigures.print((int) number(line, "members", 2, 10_000), number(line, "seed", 0, Long.MAX_VALUE),
+                        number(line, "seconds", 1, 1_000_000), to.out()),
+                Command.required("members", "N", "how many"), Command.required("seed", "N", "of all random numbers"),
+                Command.required("seconds", "S", "for which slow members are looked at")));
         add(new Command("version", "print the version", (line, to) -> {
             to.out().println("mothwing " + Commands.class.getPackage().getImplementationVersion());
             return 0;
--- /dev/null
+++ b/src/main/java/mothwing/lab/MemberNet.java
@@ -0,0 +1,213 @@
+package mothwing.lab;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import mothwing.broker.Timers;
+import mothwing.member.Change;
+import mothwing.member.Claim;
+import mothwing.member.Host;
+import mothwing.member.Membership;
+import mothwing.member.Message;
+import mothwing.member.Pace;
+import mothwing.member.State;
+
+/** Members on virtual time, with what can befall them and the network between them. Addresses are names here. */
+final class MemberNet {
+    private static final long LEAST_WAY = 200; // microseconds
+    private static final long MORE_WAY = 800;
+
+    /** A change that a member saw, in one of its starts. */
+    record Seen(long at, String by, int start, Change change) {
+    }
+
+    /** A machine with its member; a new start has a new one. */
+    final class Node {
+        final String name;
+        final String address;
+        private final ArrayDeque<Runnable> held = new ArrayDeque<>();
+        private int starts;
+        private boolean on;
+        private boolean still;
+        /** Mean microseconds by which it is late with all that comes; 0 for a machine that keeps up. */
+        long slow;
+        /** Messages that it sent, and their bytes. */
+        long sent;
+        long bytes;
+        Membership member;
+
+        private Node(String name, String address) {
+            this.name = name;
+            this.address = address;
+        }
+
+        /** Starts its process, with nothing but its seeds. */
+        void start(List<String> seeds) {
+            int mine = ++starts;
+            on = true;
+            still = false;
+            held.clear();
+            Timers timers = new Timers() {
+                @Override
+                public long now() {
+                    return time.now();
+                }
+
+                @Override
+                public long wallMs() {
+                    throw new UnsupportedOperationException("only the monotonic clock counts");
+                }
+
+                @Override
+                public void at(long at, Runnable work) {
+                    time.at(at, () -> run(mine, work));
+                }
+            };
+            member = new Membership("cairo", new Claim(name, random.nextLong() >>> 1, address, "z", 0, State.ALIVE, name), seeds,
+                    pace, timers, new Random(random.nextLong()), new Host() {
+                        @Override
+                        public void send(String address, Message message) {
+                            sent++;
+                            bytes += message.bytes();
+                            if (random.nextDouble() >= loss) {
+                                carry(Node.this, address, message);
+                            }
+                        }
+
+                        @Override
+                        public void stream(String address, Message message) {
+                            sent++;
+                            bytes += message.bytes();
+                            carry(Node.this, address, message);
+                        }
+
+                        @Override
+                        public void changed(Change change) {
+                            seen.add(new Seen(time.now(), address, mine, change));
+                        }
+                    });
+            member.start();
+        }
+
+        private void run(int mine, Runnable work) {
+            if (!on || mine != starts) {
+                return;
+            } else if (still) {
+                held.add(work);
+            } else {
+                work.run();
+            }
+        }
+
+        void kill() {
+            on = false;
+        }
+
+        /** Stands still for so long; what comes meanwhile is done at its end. */
+        void pause(long span) {
+            still = true;
+            time.at(time.now() + span, () -> {
+                still = false;
+                for (int left = held.size(); left > 0; left--) {
+                    held.remove().run();
+                }
+            });
+        }
+
+        boolean running() {
+            return on;
+        }
+    }
+
+    final VirtualTime time = new VirtualTime();
+    final List<Seen> seen = new ArrayList<>();
+    final Map<String, Node> nodes = new LinkedHashMap<>();
+    double loss;
+    /** Whether nothing comes from the one to the other. */
+    BiPredicate<String, String> cut = (from, to) -> false;
+    private final Pace pace;
+    private final Random random;
+
+    MemberNet(int members, Pace pace, long seed) {
+        this.pace = pace;
+        random = new Random(seed);
+        for (int i = 0; i < members; i++) {
+            Node node = new Node("m" + i, "m" + i);
+            nodes.put(node.name, node);
+        }
+    }
+
+    /** A further machine, where a process of a name that is taken is started by mistake. */
+    Node stray(String name, String address) {
+        Node node = new Node(name, address);
+        nodes.put(address, node);
+        return node;
+    }
+
+    List<Node> all() {
+        return List.copyOf(nodes.values());
+    }
+
+    /** Starts all at once, with the first three as seeds. */
+    MemberNet startAll() {
+        nodes.values().forEach(one -> one.start(seeds()));
+        return this;
+    }
+
+    List<String> seeds() {
+        return nodes.keySet().stream().limit(3).toList();
+    }
+
+    private void carry(Node from, String address, Message message) {
+        Node to = nodes.get(address);
+        if (to == null || cut.test(from.address, address)) {
+            return;
+        }
+        int mine = to.starts;
+        long late = to.slow == 0 ? 0 : (long) (-Math.log(1 - random.nextDouble()) * to.slow);
+        time.at(time.now() + LEAST_WAY + (long) (MORE_WAY * random.nextDouble()) + late,
+                () -> to.run(mine, () -> to.member.received(message)));
+    }
+
+    void pass(double seconds) {
+        time.until(time.now() + (long) (seconds * 1e6));
+    }
+
+    /** The names that run. */
+    Set<String> running() {
+        Set<String> all = new TreeSet<>();
+        nodes.values().stream().filter(one -> one.on).forEach(one -> all.add(one.name));
+        return all;
+    }
+
+    /** The names that a member takes to be there. */
+    static Set<String> held(Membership member) {
+        Set<String> all = new TreeSet<>();
+        member.view().members().values().stream().filter(one -> one.state().there()).forEach(one -> all.add(one.name()));
+        return all;
+    }
+
+    /** Whether all that run hold exactly those that run to be there. */
+    boolean agreed() {
+        Set<String> running = running();
+        return nodes.values().stream().filter(one -> one.on).allMatch(one -> held(one.member).equals(running));
+    }
+
+    /** Seconds until all agree, looked at every tenth; -1 where they do not within a bound. */
+    double untilAgreed(double most) {
+        long from = time.now();
+        while (!agreed()) {
+            if (time.now() - from > most * 1e6) {
+                return -1;
+            }
+            pass(0.1);
+        }
+        return (time.now() - from) / 1e6;
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/member/Change.java
@@ -0,0 +1,30 @@
+package mothwing.member;
+
+/**
+ * One change of a member's view; all changes of one member come in one order.
+ *
+ * @param version of the view from this change on
+ * @param what what has changed
+ * @param claim the claim that made it, on the member it is about
+ */
+public record Change(long version, What what, Claim claim) {
+    /** What can change. */
+    public enum What {
+        /** A member is new, or back. */
+        JOINED,
+        /** It is suspected. */
+        SUSPECTED,
+        /** It objected. */
+        CLEARED,
+        /** It is taken for dead. */
+        DIED,
+        /** It withdrew. */
+        LEFT,
+        /** Oneself hears too few. */
+        ALONE,
+        /** Oneself hears enough again. */
+        CONNECTED,
+        /** Another process has taken one's name: one is silent from now on. */
+        DISPLACED
+    }
+}
--- /dev/null
+++ b/src/main/java/mothwing/member/View.java
@@ -0,0 +1,17 @@
+package mothwing.member;
+
+import java.util.SortedMap;
+
+/**
+ * What one member holds of all others at a moment. It is advice: another may hold something else, for as long as a cut lasts.
+ *
+ * @param version goes up with each change
+ * @param members the claims that hold, by name, oneself among them; dead ones as long as their tombstone stands
+ * @param alone whether one hears too few to speak for anybody but oneself
+ */
+public record View(long version, SortedMap<String, Claim> members, boolean alone) {
+    /** How many are there, oneself among them. */
+    public int there() {
+        return (int) members.values().stream().filter(one -> one.state().there()).count();
+    }
+}
--- a/src/test/java/mothwing/LayersTest.java
+++ b/src/test/java/mothwing/LayersTest.java
@@ -20,12 +20,13 @@
             List.of("server", "adapter"),
             List.of("fastcgi", "ajp", "dns.server", "pool", "announce", "management"),
             List.of("net"),
+            List.of("member"),
             List.of("broker", "dns.zone"),
             List.of("store"),
             List.of("settings"),
             List.of("script"));
     /** Pure: events and the clock go in, actions come out. */
-    private static final String[] PURE = {"mothwing.broker..", "mothwing.dns.zone..", "mothwing"};
+    private static final String[] PURE = {"mothwing.broker..", "mothwing.dns.zone..", "mothwing.member..", "mothwing"};
 
     private static final JavaClasses ALL = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("mothwing");
