Keep the logs of a trial's processes; one virtual clock for stand and simulation

Need: a play that breaks a rule left no log to look into; Stand had a second copy of the clock of the simulation.

Change: a report has logs/; Stand uses VirtualTime.

The server spends its share on reading and refusing, in the order in which requests came; by then they are seconds old and too late to be run. Not repaired yet.

--- a/src/main/java/mothwing/lab/Stand.java
+++ b/src/main/java/mothwing/lab/Stand.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.function.Function;
 import mothwing.Brain;
 import mothwing.OverloadControl.Controller;
@@ -41,8 +40,6 @@
 
     private static final long SECOND = 1_000_000;
 
-    private record Due(long at, long order, Runnable work) { }
-
     /** Runs handed to the pool and not ended, with what each would give. */
     public final Map<String, byte[]> running = new LinkedHashMap<>();
     /** How often each request was handed to the pool. */
@@ -56,10 +53,7 @@
     /** Whether the pool can be reached. */
     public boolean linked = true;
 
-    private final PriorityQueue<Due> dues = new PriorityQueue<>((a, b) ->
-            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
-    private long now;
-    private long order;
+    private final VirtualTime time = new VirtualTime();
 
     /** Makes a broker that the pool, which is this stand, has not bound yet. */
     public Stand() {
@@ -128,13 +122,7 @@
 
     /** Lets time pass, with all that comes due in it. */
     public void pass(long micros) {
-        long until = now + micros;
-        while (!dues.isEmpty() && dues.peek().at <= until) {
-            Due due = dues.remove();
-            now = Math.max(now, due.at);
-            due.work.run();
-        }
-        now = until;
+        time.until(time.now() + micros);
     }
 
     /** Ends a run of the pool. */
@@ -155,17 +143,17 @@
 
     @Override
     public long now() {
-        return now;
+        return time.now();
     }
 
     @Override
     public long wallMs() {
-        return WALL_MS + now / 1000;
+        return time.wallMs();
     }
 
     @Override
     public void at(long at, Runnable work) {
-        dues.add(new Due(Math.max(now, at), order++, work));
+        time.at(at, work);
     }
 
     @Override
@@ -187,7 +175,7 @@
     @Override
     public void suspend(String id) {
         if (running.remove(id) != null) {
-            at(now, () -> broker.finished(id, Outcome.STOPPED, 1000, null));
+            at(now(), () -> broker.finished(id, Outcome.STOPPED, 1000, null));
         }
     }
 
@@ -199,11 +187,11 @@
     @Override
     public void poll(String echo) {
         double busy = Math.min(1, running.size() / 2.0);
-        at(now + 200, () -> broker.polled(echo, new double[] {busy, running.size(), 0.1, 1}));
+        at(now() + 200, () -> broker.polled(echo, new double[] {busy, running.size(), 0.1, 1}));
     }
 
     @Override
     public void verify(String echo) {
-        at(now + 200, () -> broker.verified(echo, true));
+        at(now() + 200, () -> broker.verified(echo, true));
     }
 }
--- a/src/main/java/mothwing/lab/Trials.java
+++ b/src/main/java/mothwing/lab/Trials.java
@@ -4,11 +4,13 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import mothwing.lab.Oracles.Breach;
 import mothwing.lab.Oracles.Verdict;
 
@@ -77,7 +79,8 @@
             if (!brief) {
                 out.println("trial " + trial.name() + ", seed " + trial.seed() + (asked.simulate() ? ", simulated" : ""));
             }
-            History history = asked.simulate() ? new SimulationStage().play(trial, line -> { }) : play(trial, out);
+            History history = asked.simulate() ? new SimulationStage().play(trial, line -> { })
+                    : play(trial, out, report);
             Verdict verdict = Oracles.judge(trial, history);
             if (!brief) {
                 print(trial, history, verdict, out);
@@ -127,14 +130,24 @@
 
     private static Verdict judged(Trial trial, boolean simulate) throws IOException, InterruptedException {
         PrintStream silent = new PrintStream(java.io.OutputStream.nullOutputStream());
-        return Oracles.judge(trial, simulate ? new SimulationStage().play(trial, line -> { }) : play(trial, silent));
+        return Oracles.judge(trial, simulate ? new SimulationStage().play(trial, line -> { })
+                : play(trial, silent, null));
     }
 
-    private static History play(Trial trial, PrintStream out) throws IOException, InterruptedException {
+    /** Plays on processes; their logs go into the report's folder, where there is one. */
+    private static History play(Trial trial, PrintStream out, Path report) throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("mothwing-trial");
         try (ProcessStage stage = new ProcessStage(folder)) {
             return stage.play(trial, line -> out.println("  " + line));
         } finally {
+            if (report != null) {
+                Path logs = Files.createDirectories(report.resolve("logs"));
+                try (Stream<Path> all = Files.list(folder)) {
+                    for (Path one : all.filter(Files::isRegularFile).toList()) {
+                        Files.copy(one, logs.resolve(one.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+                    }
+                }
+            }
             ProcessStage.delete(folder);
         }
     }
