Let callers of a seed come alike in every play; answers on new ways behind a heal

Seen: ten plays of one seed asked for 435 to 490 requests, as arrivals and the pauses before further tries drew from the same random numbers.

With other draws a simulated schedule failed with ConcurrentModificationException: VirtualNet.changed gave on what had waited behind a cut while it went through its ways, and an answer made a new one. It goes through a copy.

--- a/src/main/java/mothwing/lab/Callers.java
+++ b/src/main/java/mothwing/lab/Callers.java
@@ -13,7 +13,8 @@
 
     private final Trial trial;
     private final Timers timers;
-    private final Random random;
+    private final Random random; // of arrivals alone: a seed's callers come alike in every play
+    private final Random pauses;
     private final List<Shopfront> gateways;
     private long until;
     private long nextAt;
@@ -24,6 +25,7 @@
         this.trial = trial;
         this.timers = timers;
         this.random = random;
+        pauses = new Random(random.nextLong());
         this.gateways = gateways;
     }
 
@@ -56,7 +58,7 @@
                 waiting--;
                 return;
             }
-            long wait = (long) (trial.load().backoffMs() * MILLI * (0.5 + random.nextDouble()));
+            long wait = (long) (trial.load().backoffMs() * MILLI * (0.5 + pauses.nextDouble()));
             timers.at(timers.now() + wait, () -> once(order, attempt + 1, kind, rank, gateway));
         });
     }
--- a/src/main/java/mothwing/lab/VirtualNet.java
+++ b/src/main/java/mothwing/lab/VirtualNet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 
@@ -61,10 +62,11 @@
 
     /** The faults in force have changed: what waited behind a cut that is over arrives, in its order. */
     void changed() {
-        ways.forEach((pair, way) -> {
-            while (!way.parked.isEmpty() && !links.way(pair.from(), pair.to()).cut()) {
-                way.parked.remove().run();
+        for (Map.Entry<Pair, Way> one : List.copyOf(ways.entrySet())) { // what arrives may be answered on a new way
+            Pair pair = one.getKey();
+            while (!one.getValue().parked.isEmpty() && !links.way(pair.from(), pair.to()).cut()) {
+                one.getValue().parked.remove().run();
             }
-        });
+        }
     }
 }
