--- a/src/main/java/mothwing/lab/Wire.java
+++ b/src/main/java/mothwing/lab/Wire.java
@@ -39,8 +39,4 @@
 
     /** A health check. */
     void check(String gateway, String server, Consumer<Boolean> then);
-
-    /** A gateway ends with all its connections, and starts anew. */
-    default void restarted(String gateway) {
-    }
 }
--- a/src/main/java/mothwing/member/Membership.java
+++ b/src/main/java/mothwing/member/Membership.java
@@ -152,11 +152,6 @@
         return new View(version, Collections.unmodifiableSortedMap(all), alone);
     }
 
-    /** How far it trusts itself: 0 for fully, up to {@link Pace#doubt()}. */
-    public int doubt() {
-        return doubt;
-    }
-
     // joining
 
     /** Asks a seed for all that it holds, again and again until one has answered, and while nobody is heard. */
--- a/src/main/java/mothwing/member/Rumours.java
+++ b/src/main/java/mothwing/member/Rumours.java
@@ -56,8 +56,4 @@
         }
         return all;
     }
-
-    int size() {
-        return told.size();
-    }
 }
--- a/src/main/java/mothwing/member/View.java
+++ b/src/main/java/mothwing/member/View.java
@@ -9,9 +9,4 @@
  * @param members the claims that hold, by name, oneself among them; dead ones as long as their tombstone stands
  * @param alone whether one hears too few to speak for anybody but oneself
  */
-public record View(long version, SortedMap<String, Claim> members, boolean alone) {
-    /** How many are there, oneself among them. */
-    public int there() {
-        return (int) members.values().stream().filter(one -> one.state().there()).count();
-    }
-}
+public record View(long version, SortedMap<String, Claim> members, boolean alone) {}
