Share one machine on virtual time between trials and members

Found on reading the change again: SimulationStage.Machine and MemberNet.Node each had the same starts, the same queue of what comes while a machine stands still, and the same timers of one start. VirtualMachine has them now; a member's clock on the wall still throws.

--- a/src/main/java/mothwing/lab/MemberFigures.java
+++ b/src/main/java/mothwing/lab/MemberFigures.java
@@ -62,7 +62,7 @@
             Node one = net.all().get(random.nextInt(net.nodes.size()));
             net.seen.clear();
             long from = net.time.now();
-            one.kill();
+            one.end();
             net.pass(APART / 2);
             TreeSet<String> told = new TreeSet<>();
             for (Seen seen : net.seen) {
--- a/src/main/java/mothwing/lab/MemberNet.java
+++ b/src/main/java/mothwing/lab/MemberNet.java
@@ -1,6 +1,5 @@
 package mothwing.lab;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,7 +8,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BiPredicate;
-import mothwing.broker.Timers;
 import mothwing.member.Change;
 import mothwing.member.Claim;
 import mothwing.member.Host;
@@ -28,13 +26,9 @@
     }
 
     /** A machine with its member; a new start has a new one. */
-    final class Node {
+    final class Node extends VirtualMachine {
         final String name;
         final String address;
-        private final ArrayDeque<Runnable> held = new ArrayDeque<>();
-        private int starts;
-        private boolean on;
-        private boolean still;
         /** Mean microseconds by which it is late with all that comes; 0 for a machine that keeps up. */
         long slow;
         /** Messages that it sent, and their bytes. */
@@ -43,34 +37,21 @@
         Membership member;
 
         private Node(String name, String address) {
+            super(time);
             this.name = name;
             this.address = address;
         }
 
+        @Override
+        long wallMs() {
+            throw new UnsupportedOperationException("only the monotonic clock counts");
+        }
+
         /** Starts its process, with nothing but its seeds. */
         void start(List<String> seeds) {
-            int mine = ++starts;
-            on = true;
-            still = false;
-            held.clear();
-            Timers timers = new Timers() {
-                @Override
-                public long now() {
-                    return time.now();
-                }
-
-                @Override
-                public long wallMs() {
-                    throw new UnsupportedOperationException("only the monotonic clock counts");
-                }
-
-                @Override
-                public void at(long at, Runnable work) {
-                    time.at(at, () -> run(mine, work));
-                }
-            };
+            int mine = begin();
             member = new Membership("cairo", new Claim(name, random.nextLong() >>> 1, address, "z", 0, State.ALIVE, name), seeds,
-                    pace, timers, new Random(random.nextLong()), new Host() {
+                    pace, timers(mine), new Random(random.nextLong()), new Host() {
                         @Override
                         public void send(String address, Message message) {
                             sent++;
@@ -95,33 +76,10 @@
             member.start();
         }
 
-        private void run(int mine, Runnable work) {
-            if (!on || mine != starts) {
-                return;
-            } else if (still) {
-                held.add(work);
-            } else {
-                work.run();
-            }
-        }
-
-        void kill() {
-            on = false;
-        }
-
         /** Stands still for so long; what comes meanwhile is done at its end. */
         void pause(long span) {
-            still = true;
-            time.at(time.now() + span, () -> {
-                still = false;
-                for (int left = held.size(); left > 0; left--) {
-                    held.remove().run();
-                }
-            });
-        }
-
-        boolean running() {
-            return on;
+            still(true);
+            time.at(time.now() + span, () -> still(false));
         }
     }
 
@@ -169,7 +127,7 @@
         if (to == null || cut.test(from.address, address)) {
             return;
         }
-        int mine = to.starts;
+        int mine = to.starts();
         long late = to.slow == 0 ? 0 : (long) (-Math.log(1 - random.nextDouble()) * to.slow);
         time.at(time.now() + LEAST_WAY + (long) (MORE_WAY * random.nextDouble()) + late,
                 () -> to.run(mine, () -> to.member.received(message)));
@@ -182,7 +140,7 @@
     /** The names that run. */
     Set<String> running() {
         Set<String> all = new TreeSet<>();
-        nodes.values().stream().filter(one -> one.on).forEach(one -> all.add(one.name));
+        nodes.values().stream().filter(one -> one.running()).forEach(one -> all.add(one.name));
         return all;
     }
 
@@ -196,7 +154,7 @@
     /** Whether all that run hold exactly those that run to be there. */
     boolean agreed() {
         Set<String> running = running();
-        return nodes.values().stream().filter(one -> one.on).allMatch(one -> held(one.member).equals(running));
+        return nodes.values().stream().filter(one -> one.running()).allMatch(one -> held(one.member).equals(running));
     }
 
     /** Seconds until all agree, looked at every tenth; -1 where they do not within a bound. */
--- a/src/main/java/mothwing/lab/SimulationStage.java
+++ b/src/main/java/mothwing/lab/SimulationStage.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.StringReader;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,7 +20,6 @@
 import mothwing.broker.Caller;
 import mothwing.broker.Counters;
 import mothwing.broker.Exchange;
-import mothwing.broker.Timers;
 import mothwing.broker.Workers;
 import mothwing.lab.History.End;
 import mothwing.server.Config;
@@ -178,23 +176,20 @@
     }
 
     /** A server with its pool, over all its lives. */
-    private final class Machine {
+    private final class Machine extends VirtualMachine {
         private final String name;
-        private final ArrayDeque<Runnable> held = new ArrayDeque<>();
         private final Map<String, Open> open = new LinkedHashMap<>();
-        private int lives;
-        private boolean on;
-        private boolean still;
         private History.Life life;
         private Broker broker;
         private PoolLine pool;
 
         Machine(String name) {
+            super(time);
             this.name = name;
         }
 
         void start(long boot) {
-            int mine = ++lives;
+            int mine = begin();
             life = new History.Life(name, mine, time.now());
             history.lives.add(life);
             PoolCores cores = new PoolCores(new PoolCores.Work(trial.fleet().cores(), trial.fleet().workMs(),
@@ -202,8 +197,6 @@
             pool = new PoolLine(this, mine, cores);
             broker = new Broker(settings, maker, pool, timers(mine), new Counters(), line -> { });
             pool.broker = broker;
-            on = true;
-            held.clear();
             timers(mine).at(time.now() + boot, () -> {
                 life.readyAt = time.now();
                 broker.bound(false, 3600 * SECOND);
@@ -216,47 +209,17 @@
             timers(mine).at(time.now() + REPORT, () -> report(mine));
         }
 
-        /** Timers of one life: nothing of it happens once it is over, or while the machine stands still. */
-        private Timers timers(int mine) {
-            return new Timers() {
-                @Override
-                public long now() {
-                    return time.now();
-                }
-
-                @Override
-                public long wallMs() {
-                    return time.wallMs();
-                }
-
-                @Override
-                public void at(long at, Runnable what) {
-                    time.at(at, () -> run(mine, what));
-                }
-            };
-        }
-
-        void run(int mine, Runnable what) {
-            if (!on || mine != lives) {
-                return;
-            } else if (still) {
-                held.add(what);
-            } else {
-                what.run();
-            }
-        }
-
         void strike(Fault fault) {
             switch (fault.kind()) {
                 case KILL, WIPE -> {
-                    if (on) {
+                    if (running()) {
                         life.killed = true;
                         pool.cores.lose();
                         end(-1);
                     }
                 }
                 case STOP -> {
-                    still = true;
+                    still(true);
                     pool.cores.hold(true);
                 }
                 case DIP -> pool.cores.speed(fault.value());
@@ -268,17 +231,13 @@
         void recover(Fault fault) {
             switch (fault.kind()) {
                 case KILL, WIPE, LEAVE -> {
-                    if (!on) {
-                        still = false;
+                    if (!running()) {
                         start(BOOT);
                     }
                 }
                 case STOP -> {
-                    still = false;
                     pool.cores.hold(false);
-                    for (int left = held.size(); left > 0 && !still; left--) {
-                        held.remove().run();
-                    }
+                    still(false);
                 }
                 case DIP -> pool.cores.speed(1);
                 default -> { }
@@ -287,7 +246,7 @@
 
         /** Its process is over: whoever waits for an answer learns it by the end of the connection. */
         private void end(int status) {
-            on = false;
+            end();
             life.endedAt = time.now();
             life.status = status;
             List<Open> lost = new ArrayList<>(open.values());
@@ -296,21 +255,21 @@
         }
 
         void leave() {
-            if (!on || life.noticeAt >= 0) {
+            if (!running() || life.noticeAt >= 0) {
                 return;
             }
             life.noticeAt = time.now();
             long stopAt = time.now() + trial.fleet().stopMs() * MILLI;
-            int mine = lives;
+            int mine = starts();
             run(mine, () -> broker.drain(life.noticeAt, stopAt, false));
             look(mine, stopAt);
         }
 
         private void look(int mine, long stopAt) {
-            if (!on || mine != lives) {
+            if (!running() || mine != starts()) {
                 return;
             }
-            if (!still && broker.draining() && broker.owed() == 0) {
+            if (!standsStill() && broker.draining() && broker.owed() == 0) {
                 end(0);
             } else if (time.now() >= stopAt) {
                 life.overstayed = true;
@@ -329,7 +288,7 @@
                 if (Links.touches(fault, one.gateway, name) || Links.touches(fault, name, one.gateway)) {
                     open.remove(one.ask.trace());
                     one.tell(Wire.Reply.bare(End.LOST));
-                    run(lives, () -> broker.gone(one.exchange));
+                    run(starts(), () -> broker.gone(one.exchange));
                 }
             }
         }
@@ -381,13 +340,13 @@
         public void ask(String gateway, String server, Ask ask, Consumer<Reply> then) {
             Machine machine = machines.get(server);
             net.send(gateway, server, () -> {
-                if (!machine.on || machine.life.noticeAt >= 0 && machine.open.isEmpty()) {
+                if (!machine.running() || machine.life.noticeAt >= 0 && machine.open.isEmpty()) {
                     net.send(server, gateway, () -> then.accept(Reply.bare(End.UNREACHED)));
                     return;
                 }
                 Open one = new Open(gateway, machine, ask, then);
                 machine.open.put(ask.trace(), one);
-                machine.run(machine.lives, () -> one.exchange = machine.broker.read(new Arrival(ask.trace(),
+                machine.run(machine.starts(), () -> one.exchange = machine.broker.read(new Arrival(ask.trace(),
                         ask.acceptedAtMs(), "one", ask.kind(), RESERVE_KB, ask.rank(), null, ask.body()), one));
             });
         }
@@ -398,7 +357,7 @@
             net.send(gateway, server, () -> {
                 Open one = machine.open.remove(trace);
                 if (one != null) {
-                    machine.run(machine.lives, () -> {
+                    machine.run(machine.starts(), () -> {
                         if (one.exchange != null) {
                             machine.broker.gone(one.exchange);
                         }
@@ -411,10 +370,10 @@
         public void check(String gateway, String server, Consumer<Boolean> then) {
             Machine machine = machines.get(server);
             net.send(gateway, server, () -> {
-                if (!machine.on) {
+                if (!machine.running()) {
                     net.send(server, gateway, () -> then.accept(false));
                 } else {
-                    machine.run(machine.lives, () -> machine.broker.check(false,
+                    machine.run(machine.starts(), () -> machine.broker.check(false,
                             good -> net.send(server, gateway, () -> then.accept(good))));
                 }
             });
@@ -444,7 +403,7 @@
         private void command(Runnable work) {
             int now = link;
             net.send(machine.name, Trial.pool(machine.name), () -> {
-                if (now == link && mine == machine.lives) {
+                if (now == link && mine == machine.starts()) {
                     work.run();
                 }
             });
@@ -487,7 +446,7 @@
         }
 
         private void again() {
-            if (!machine.on || mine != machine.lives) {
+            if (!machine.running() || mine != machine.starts()) {
                 return;
             }
             command(() -> {
--- a/src/test/java/mothwing/lab/MemberNetTest.java
+++ b/src/test/java/mothwing/lab/MemberNetTest.java
@@ -31,7 +31,7 @@
     @Test
     void aKilledMemberIsKnownToAllAndItsReturnToo() {
         MemberNet net = met(20, 1);
-        net.nodes.get("m7").kill();
+        net.nodes.get("m7").end();
         double known = net.untilAgreed(10);
         assertTrue(known > 0 && known < 5, "after " + known);
         assertEquals(19, of(net, What.DIED).size(), "each of the others sees it die once");
@@ -126,7 +126,7 @@
                 Node other = net.all().get(random.nextInt(net.all().size()));
                 int half = 1 + random.nextInt(net.all().size());
                 switch (random.nextInt(7)) {
-                    case 0 -> some.kill();
+                    case 0 -> some.end();
                     case 1 -> some.start(net.seeds());
                     case 2 -> some.pause((long) (random.nextDouble() * 6e6));
                     case 3 -> net.loss = random.nextDouble() * 0.4;
