Make the gateways of a trial in one place for both stages

Found on reading the change again: both stages chose habits, heed and random numbers of gateways by the same lines. Shopfront.all does.

Behaviour is the same: the history of a drawn schedule is equal to the byte before and after; TrialTest and LayersTest green.

--- a/src/main/java/mothwing/lab/ProcessStage.java
+++ b/src/main/java/mothwing/lab/ProcessStage.java
@@ -159,15 +159,7 @@
             relay.name(from.get(one), one);
         }
         sockets = new GatewaySockets(loop, timers, relay, from);
-        List<String> names = trial.gateways();
-        for (int i = 0; i < names.size(); i++) {
-            Random own = new Random(random.nextLong());
-            Trial.Habit habit = trial.load().habits().get(i % trial.load().habits().size());
-            String name = names.get(i);
-            boolean heeds = i < Math.round(trial.load().heed() * names.size());
-            gateways.put(name, onLoop(() -> new Shopfront(name, habit, heeds, trial.load().patienceMs(), timers, own, sockets,
-                    history)));
-        }
+        gateways.putAll(onLoop(() -> Shopfront.all(trial, timers, random, sockets, history)));
         register = onLoop(() -> new Register(timers, links, gateways));
         bureau = new Bureau(loop, address(6, 1), name -> register.heard(name));
         progress.accept("starting " + trial.fleet().servers() + " servers");
--- a/src/main/java/mothwing/lab/Shopfront.java
+++ b/src/main/java/mothwing/lab/Shopfront.java
@@ -96,7 +96,7 @@
     private int turn;
     private boolean over;
 
-    Shopfront(String name, Habit habit, boolean heeds, long patienceMs, Timers timers, Random random, Wire wire,
+    private Shopfront(String name, Habit habit, boolean heeds, long patienceMs, Timers timers, Random random, Wire wire,
             History history) {
         this.name = name;
         this.habit = habit;
@@ -111,6 +111,19 @@
         }
     }
 
+    /** All gateways of a trial, by name; each has random numbers of its own. */
+    static Map<String, Shopfront> all(Trial trial, Timers timers, Random random, Wire wire, History history) {
+        Trial.Load load = trial.load();
+        Map<String, Shopfront> all = new LinkedHashMap<>();
+        for (String name : trial.gateways()) {
+            int i = all.size();
+            all.put(name, new Shopfront(name, load.habits().get(i % load.habits().size()),
+                    i < Math.round(load.heed() * load.gateways()), load.patienceMs(), timers, new Random(random.nextLong()),
+                    wire, history));
+        }
+        return all;
+    }
+
     /** A new list of servers. */
     void list(List<String> servers) {
         if (!servers.equals(list)) {
--- a/src/main/java/mothwing/lab/SimulationStage.java
+++ b/src/main/java/mothwing/lab/SimulationStage.java
@@ -70,14 +70,7 @@
         net = new VirtualNet(time, links, new Random(random.nextLong()));
         work = new Random(random.nextLong());
         settings = settings();
-        Map<String, Shopfront> gateways = new LinkedHashMap<>();
-        Sent sent = new Sent();
-        for (String name : trial.gateways()) {
-            int i = gateways.size();
-            gateways.put(name, new Shopfront(name, trial.load().habits().get(i % trial.load().habits().size()),
-                    i < Math.round(trial.load().heed() * trial.load().gateways()), trial.load().patienceMs(), time,
-                    new Random(random.nextLong()), sent, history));
-        }
+        Map<String, Shopfront> gateways = Shopfront.all(trial, time, random, new Sent(), history);
         register = new Register(time, links, gateways);
         for (String name : trial.servers()) {
             Machine machine = new Machine(name);
