Take requests in turns; refuse undecided what a crowded core cannot decide

Seen (one server, 60 cores behind it, core shared from second 2 on, log of the module's samples): `span=233 reads=302 unreach=209 filter=0 runLimit=69 onCores=64 best=57.98 paceAll=0.617 busy=1.0`, then 150 to 300 ms between samples, busy 0.43 to 0.58, paceAll 0.45 to 0.71 where 0.23 is true, runLimit and the means frozen. Of the processor time some 40% went into Brain.reachable, which adds up all that is held for each request read; at 700/s the same server serves all. Ruled out: the share of the core (700/s are served whole by 1/16), the pool (idle by half), the length of a turn alone (bounded turns by themselves: 262 for 255).

To blame: Brain.timer took each late sample for a standstill and skipped it, so neither ladder nor running limit moved; Brain.learn took its own lateness for the cost of runs; reachable had no end before the last request held; Connection.send flushed each answer by itself; and refusing by way of the module costs some 50 us, which nobody bounded.

Change: Turns bounds what clients' bytes take in one go (4 ms, the rest waits in order with reading off) and, where some always wait for 150 ms, refuses a growing share before fields are read, with Hold-Off-Ms, counted by class. Answers of a batch leave in one flush. The module counts a late sample as evidence where the one before was late too, takes the pool's word for run times then, lets the running limit follow, and stops adding in reachable. Not taken: leaving connections unread (who is given up must hear it at once); a second thread for the pool's link (one loop owns all).

A process that stood still looks at its sockets before it closes on what seems quiet, leaving or not: the first look of Attendance after 150 ms closes nothing, and Leave gives the sockets 200 ms after waking.

--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -88,8 +88,6 @@
 
     private enum State { HELD, RUNNING, PAUSED, AT_CALL, CALLING, REPLAYING }
 
-    private static final Set<State> WAITING = Set.of(State.AT_CALL, State.REPLAYING);
-
     private record Expiry(long at, String id) { }
 
     /** A request that is unanswered, or whose run still holds core or memory. */
@@ -140,6 +138,7 @@
     private long startedAt;
     private long lastSample;
     private boolean draining;
+    private boolean late;
     private long noticeAt;
     private long stopAt;
     private double coreClock;
@@ -276,7 +275,7 @@
         job.due = draining ? Math.min(due, stopAt) : due;
         job.unit = request.cost() > 0 ? request.cost() : kind.aim() * PRIOR_WORK;
         job.aimBy = job.arrived + kind.aim();
-        job.overShare = overShare(request.tenant());
+        job.overShare = request.tenant() >= 0 && quotaTokens[request.tenant()] < 0;
         job.worth = worth(job);
         open.put(request.id(), job);
         memory += request.memory();
@@ -364,17 +363,19 @@
     private boolean reachable(Job job) {
         double ahead = 0;
         double calls = -callRoom;
+        double spare = usefulUntil(job) - now - callsLeft(job) - stretched(job) - margin;
+        double most = spare * Math.max(LEAST_CORES, cores - betterToCome(job)) / SPREAD;
         for (Job other : open.values()) {
-            boolean better = ORDER.compare(other, job) <= 0;
-            if (other != job && !other.answered && (better || other.state != State.HELD)) {
+            boolean first = other.worth == job.worth ? other.arrived <= job.arrived : other.worth > job.worth;
+            if (other != job && !other.answered && (first || other.state != State.HELD)) {
                 ahead += left(other);
+                if (ahead > most) {
+                    return false; // in a crowd that is most of them: no need to add up the rest
+                }
             }
-            calls += better && !other.answered ? callsLeft(other) : 0;
+            calls += job.kind.calls() && first && !other.answered ? callsLeft(other) : 0;
         }
-        boolean must = job.kind.calls() && job.kind.skipWorth() == 0;
-        double free = Math.max(LEAST_CORES, cores - betterToCome(job));
-        double wait = Math.max(SPREAD * ahead / free, must ? calls / callFlow : 0);
-        return now + wait + callsLeft(job) + stretched(job) + margin <= usefulUntil(job);
+        return spare >= 0 && (!job.kind.calls() || job.kind.skipWorth() > 0 || calls / callFlow <= spare);
     }
 
     /** Cores that work of much better worth takes while a request waits: what came of late goes on. */
@@ -443,10 +444,6 @@
         return job.used + (job.state == State.RUNNING ? coreClock - job.mark : 0);
     }
 
-    private boolean overShare(int tenant) {
-        return tenant >= 0 && quotaTokens[tenant] < 0;
-    }
-
     private double quota(int tenant) {
         return settings.tenants().get(tenant).quota() / Math.max(1, settings.replicas()) * QUOTA_LEEWAY;
     }
@@ -611,6 +608,7 @@
             return;
         }
         close(job);
+        job.used = late && took > 0 ? Math.min(job.used, took) : job.used; // the rest is our own lateness
         if (!replayed && outcome == Outcome.GOOD) {
             account(RUNS, true);
             learn(job);
@@ -692,10 +690,10 @@
                 continue;
             }
             boolean due = now + margin >= job.due;
-            boolean unrun = job.state == State.HELD && !job.ran;
-            if (unrun && (due || now + stretched(job) > usefulUntil(job))) {
+            boolean waits = job.state == State.AT_CALL || job.state == State.REPLAYING;
+            if (job.state == State.HELD && !job.ran && (due || now + stretched(job) > usefulUntil(job))) {
                 turnAway(job);
-            } else if (due || now > worthUntil(job) && WAITING.contains(job.state)) {
+            } else if (due || now > worthUntil(job) && waits) {
                 answerFailed(job); // what waits is given up once it can earn nothing; a run goes on
             }
         }
@@ -811,7 +809,8 @@
     public void timer(long at, String tag, double[] gauges) {
         advance(at);
         host.timer(at + sample, TICK);
-        boolean stalled = at - lastSample > STALL * sample;
+        boolean stalled = at - lastSample > STALL * sample && !late;
+        late = at - lastSample > STALL * sample; // again and again: it is short of processor time
         double span = (at - lastSample) / SECOND;
         lastSample = at;
         fill(span);
@@ -819,9 +818,12 @@
         fadePaces(span);
         faults[RUNS] = Math.max(0, faults[RUNS] - FORGOTTEN * cores * span);
         faults[CALLS] = Math.max(0, faults[CALLS] - FORGOTTEN * cores * span);
+        busy = gauge(gauges, "cpu_busy", Math.min(1, (double) onCores / cores));
+        usualBusy += (busy - usualBusy) * Math.min(1, span / BUSY_SECONDS);
         if (!stalled) {
             observe(gauges, span);
         }
+        adaptRunLimit((int) Math.max(1, Math.min(HISTORY, span * SECOND / sample)));
     }
 
     /** Refills the buckets of the filter in force and the tenants' quotas. */
@@ -879,8 +881,6 @@
 
     /** One sample: the gauges, the index, and the damped step through the ladder. */
     private void observe(double[] gauges, double span) {
-        busy = gauge(gauges, "cpu_busy", Math.min(1, (double) onCores / cores));
-        usualBusy += (busy - usualBusy) * Math.min(1, span / BUSY_SECONDS);
         record(0, busy);
         record(1, memory / Math.max(1, settings.machine().memory()));
         record(2, gauge(gauges, "runnable", onCores) / survivable());
@@ -893,7 +893,6 @@
             double mean = mean(i);
             index += mean > OVER[i] ? 1 : mean < UNDER[i] ? -1 : 0;
         }
-        adaptRunLimit();
         if (index < OVERLOADED) {
             best = Math.min(cores, Math.max(best * (1 - span / BEST_SECONDS), doneRate));
         }
@@ -994,10 +993,10 @@
     }
 
     /** The running limit grows fast while cores idle and work waits, and falls back to the cores. */
-    private void adaptRunLimit() {
+    private void adaptRunLimit(int steps) {
         boolean waiting = open.values().stream().anyMatch(job -> job.state == State.HELD && !job.answered);
         if (waiting && busy < IDLE_CORES && onCores >= runLimit) {
-            runLimit = Math.min(runLimit + 1, (int) crowdCeiling());
+            runLimit = Math.min(runLimit + steps, (int) crowdCeiling());
         } else if (busy > IDLE_CORES && runLimit > cores && samples % HISTORY == 0) {
             runLimit--;
         }
--- a/src/main/java/mothwing/OverloadControl.java
+++ b/src/main/java/mothwing/OverloadControl.java
@@ -229,7 +229,7 @@
         /** A call ended. */
         void callEnded(long now, String id, Outcome outcome, long took);
 
-        /** A run, or a replay, ended. */
+        /** A run, or a replay, ended; it took so long where it ran, or 0 where that is not known. */
         void finished(long now, String id, Outcome outcome, long took);
 
         /** A timer fired; gauges in the order of the settings. */
--- a/src/main/java/mothwing/broker/Arrival.java
+++ b/src/main/java/mothwing/broker/Arrival.java
@@ -19,6 +19,8 @@
         double rank, String subject, byte[] body) {
     /** Most bytes of a body. */
     public static final int MOST_BODY = 2048;
+    /** What stands before the name of a class in the path. */
+    public static final String PATH = "/call/";
 
     private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Pattern WHOLE = Pattern.compile("[0-9]{1,15}");
@@ -73,7 +75,7 @@
          * @throws Bad where a field is missing or makes no sense
          */
         public Arrival at(String path, byte[] body) throws Bad {
-            if (!path.startsWith("/call/")) {
+            if (!path.startsWith(PATH)) {
                 throw new Bad("bad-path");
             }
             if (!ID.matcher(id).matches()) {
@@ -93,7 +95,7 @@
             if (!(standing < 1)) {
                 throw new Bad("bad-standing");
             }
-            return new Arrival(id, Long.parseLong(accepted), tenant, path.substring("/call/".length()), kb,
+            return new Arrival(id, Long.parseLong(accepted), tenant, path.substring(PATH.length()), kb,
                     standing, subject, body);
         }
 
--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import mothwing.OverloadControl.Controller;
 import mothwing.OverloadControl.Halting;
@@ -67,6 +68,7 @@
     private final Departure departure = new Departure();
     private Consumer<Long> trimmer = span -> { };
     private Runnable onReady = () -> { };
+    private BooleanSupplier shed = () -> false;
 
     /**
      * Makes a broker; the controller is made when the pool says how it started.
@@ -141,8 +143,34 @@
         trimmer = closer;
     }
 
+    /**
+     * Says who knows what this process cannot even decide.
+     *
+     * @param asked asked once for each request; true where it is to be refused undecided
+     */
+    public void shedWith(BooleanSupplier asked) {
+        shed = asked;
+    }
+
     // what fronts bring
 
+    /**
+     * Whether a request that was read is to be refused at once, before its fields are looked at: this process is so far
+     * behind that deciding would cost more than it has. Such a request is counted as refused.
+     *
+     * @param kind the name of its class; what is of no class is never refused so
+     * @return the milliseconds to stay away that the refusal advises, or -1 where the request is to be {@link #read}
+     */
+    public long sheds(String kind) {
+        if (controller == null || departure.going() || inForce.known(kind) == null || !shed.getAsBoolean()) {
+            return -1;
+        }
+        counters.add("read");
+        counters.add("refused-behind");
+        figures.ended(kind, Figures.End.REJECTED);
+        return told().signals().mayAdvise() ? told().signals().longestAdvice() / MILLI : 0;
+    }
+
     /**
      * Takes a request that was read whole.
      *
--- a/src/main/java/mothwing/broker/Counters.java
+++ b/src/main/java/mothwing/broker/Counters.java
@@ -1,11 +1,12 @@
 package mothwing.broker;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
 
 /** Counts of what was taken in, sent and answered, by name. Names come from the program alone, so they are few. */
 public final class Counters {
-    private final Map<String, Long> counts = new TreeMap<>();
+    private final Map<String, Long> counts = new HashMap<>();
 
     /** Makes counters that all stand at 0. */
     public Counters() {
@@ -44,7 +45,7 @@
     @Override
     public String toString() {
         StringBuilder all = new StringBuilder();
-        counts.forEach((name, count) -> all.append(all.isEmpty() ? "" : " ").append(name).append('=').append(count));
+        new TreeMap<>(counts).forEach((name, count) -> all.append(all.isEmpty() ? "" : " ").append(name).append('=').append(count));
         return all.toString();
     }
 }
--- a/src/main/java/mothwing/lab/VirtualMachine.java
+++ b/src/main/java/mothwing/lab/VirtualMachine.java
@@ -26,6 +26,7 @@
     /** Ends the start: nothing of it happens any longer. */
     final void end() {
         on = false;
+        held.clear();
     }
 
     final boolean running() {
--- a/src/main/java/mothwing/net/Attendance.java
+++ b/src/main/java/mothwing/net/Attendance.java
@@ -13,6 +13,7 @@
 final class Attendance {
     private static final int SLOTS = 512;
     private static final long TICK = 20_000; // microseconds
+    private static final long STOOD_STILL = 150_000; // microseconds between looks: what was sent meanwhile is not read yet
     private static final long NEWCOMER = 250_000; // microseconds in which the first request of a connection is on its way
 
     private final long patience;
@@ -22,6 +23,8 @@
     private final Map<Connection, Place> strangers = new LinkedHashMap<>(); // the longest silent first
     private long span;
     private Reason why = Reason.IDLE;
+    private long lookedAt;
+    private boolean unread;
 
     /** A connection's place in the wheel. */
     private final class Place extends TimingWheel.Entry {
@@ -37,7 +40,7 @@
         void stirred() {
             long now = timers.now();
             quietSince = connection.quiet() ? now : Connection.NEVER;
-            if (why == Reason.DRAIN && connection.quiet() && !connection.stranger()) {
+            if (why == Reason.DRAIN && connection.quiet() && !connection.stranger() && !unread && !late(now)) {
                 connection.close(why, ""); // right behind its last answer: who asks one thing after the other is never idle
             }
             if (strangers.remove(connection) != null && connection.stranger()) {
@@ -89,9 +92,14 @@
         this.patience = patience;
         span = patience;
         this.timers = timers;
+        lookedAt = timers.now();
         wheel = new TimingWheel(SLOTS, TICK, timers.now());
     }
 
+    private boolean late(long now) {
+        return now - lookedAt > STOOD_STILL;
+    }
+
     /** Takes a new connection. */
     void add(Connection connection) {
         Place place = new Place(connection, timers.now());
@@ -143,7 +151,8 @@
     }
 
     /**
-     * Closes what overstays now. A change of the span or the reason looks at every connection once, else only what is
+     * Closes what overstays now, but for the first look after the process stood still: a connection that seems quiet may
+     * have a request in its socket. A change of the span or the reason looks at every connection once, else only what is
      * due is looked at.
      *
      * @param quiet microseconds that a connection may be quiet; 0 closes all on which nothing is open
@@ -151,6 +160,11 @@
      */
     void trim(long quiet, Reason reason) {
         long now = timers.now();
+        unread = late(now);
+        lookedAt = now;
+        if (unread) {
+            return;
+        }
         if (quiet != span || reason != why) {
             span = quiet;
             why = reason;
--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -37,6 +37,9 @@
     private long pieceSince = NEVER;
     private long deafSince = NEVER;
     private boolean introduced;
+    private Turns turns;
+    private boolean awaits;
+    private boolean flushes;
 
     /**
      * Makes the state of a connection.
@@ -90,7 +93,24 @@
 
     /** Whether nothing is open on it and no part of a piece has come: then it may be closed. */
     final boolean quiet() {
-        return idle() && pieceSince == NEVER;
+        return idle() && pieceSince == NEVER && !awaits;
+    }
+
+    /** Lets it take pieces in turns. */
+    final void inTurns(Turns all) {
+        turns = all;
+    }
+
+    /** Its turn has come. */
+    final void goOn() {
+        awaits = false;
+        if (closed()) {
+            return;
+        }
+        takeAll();
+        if (!awaits && !closed()) {
+            context.channel().config().setAutoRead(context.channel().isWritable());
+        }
     }
 
     /** Tells the time to a connection, and whom to tell when something came or left on it. */
@@ -132,7 +152,7 @@
     /** Until when it may stay as it is, or {@link #NEVER} where nothing is missing. */
     final long overstaysAt(long patience) {
         long since = deafSince;
-        if (!closing) {
+        if (!closing && !awaits) { // what it waits for is this side
             since = Math.min(since, Math.min(Math.min(pieceSince, halfReadSince()), stranger() ? openedAt : NEVER));
         }
         return since == NEVER ? NEVER : since + patience;
@@ -168,7 +188,14 @@
             return;
         }
         bytesOut += bytes.readableBytes();
-        context.writeAndFlush(bytes, context.voidPromise());
+        context.write(bytes, context.voidPromise());
+        if (!flushes) { // what one batch answers leaves in one go
+            flushes = true;
+            context.executor().execute(() -> {
+                flushes = false;
+                context.flush();
+            });
+        }
         stirred.run();
     }
 
@@ -217,12 +244,27 @@
             gathered = joined(ctx, gathered, came);
         }
         pieceSince = Math.min(pieceSince, now());
+        if (!awaits) {
+            takeAll();
+        }
+    }
+
+    private void takeAll() {
         try {
-            while (!closed() && take(gathered)) {
-                pieces++;
-                pieceSince = now();
+            boolean whole = true;
+            while (whole && !closed() && !awaits && gathered.isReadable()) {
+                if (turns != null && !turns.open()) {
+                    awaits = true;
+                    turns.await(this);
+                    context.channel().config().setAutoRead(false);
+                } else if (take(gathered)) {
+                    pieces++;
+                    pieceSince = now();
+                } else {
+                    whole = false;
+                }
             }
-            if (!closed() && gathered.readableBytes() > mostGathered) {
+            if (!closed() && !awaits && gathered.readableBytes() > mostGathered) {
                 throw new Malformed(Reason.OVERSIZED, "over " + mostGathered + " bytes without an end");
             }
         } catch (Malformed bad) {
@@ -260,7 +302,7 @@
         deafSince = reads ? NEVER : Math.min(deafSince, now());
         stirred.run();
         if (!closing) {
-            ctx.channel().config().setAutoRead(reads);
+            ctx.channel().config().setAutoRead(reads && !awaits);
         }
     }
 
--- a/src/main/java/mothwing/net/Headers.java
+++ b/src/main/java/mothwing/net/Headers.java
@@ -34,7 +34,8 @@
      * @return name with value
      */
     public static String[] feedback(double value) {
-        return new String[] {"Feedback", BigDecimal.valueOf(value).toPlainString()};
+        String text = value == 0 ? "0.0" : BigDecimal.valueOf(value).toPlainString();
+        return new String[] {"Feedback", text};
     }
 
     /**
--- a/src/main/java/mothwing/net/Listener.java
+++ b/src/main/java/mothwing/net/Listener.java
@@ -44,6 +44,7 @@
     private final Attendance attendance;
     private Entrance channel;
     private boolean shared;
+    private Turns turns;
 
     /** A listening socket that can be closed without losing who waits at it. */
     private final class Entrance extends NioServerSocketChannel {
@@ -95,6 +96,15 @@
         shared = true;
     }
 
+    /**
+     * Lets its connections take what was sent in turns.
+     *
+     * @param all the turns, one for all listeners of a loop
+     */
+    public void inTurns(Turns all) {
+        turns = all;
+    }
+
     /**
      * Begins to listen.
      *
@@ -136,6 +146,7 @@
             return;
         }
         Connection connection = maker.get();
+        connection.inTurns(turns);
         attendance.add(connection);
         accepted.closeFuture().addListener(closed -> attendance.remove(connection));
         accepted.pipeline().addLast(connection);
--- a/src/main/java/mothwing/net/Reply.java
+++ b/src/main/java/mothwing/net/Reply.java
@@ -60,6 +60,11 @@
             answer(200, List.of(), (broker.counts() + "\n").getBytes(StandardCharsets.UTF_8));
             return;
         }
+        long advice = path.startsWith(Arrival.PATH) ? broker.sheds(path.substring(Arrival.PATH.length())) : -1;
+        if (advice >= 0) {
+            refused(false, advice);
+            return;
+        }
         try {
             exchange = broker.read(fields.at(path, body), this);
         } catch (Arrival.Bad bad) {
--- a/src/main/java/mothwing/server/Leave.java
+++ b/src/main/java/mothwing/server/Leave.java
@@ -25,6 +25,8 @@
     private static final long MILLI = 1000;
     private static final long PERIOD = 20 * MILLI;
     private static final long LAST_MOMENT = 150 * MILLI; // before the stop, at which the process ends by itself
+    private static final long STOOD_STILL = 5 * PERIOD; // late by so much: it could not read meanwhile
+    private static final long TO_READ = 200 * MILLI; // for what waits in the sockets then, read and answered in some turns
     private static final long UPGRADE_LONGEST = 3000 * MILLI; // an upgrade is cut off after the longest deadline,
     private static final long UPGRADE_MORE = 700 * MILLI; // counted as 3 s where it is longer, and this
     private static final int PROBE_MS = 100; // a full queue lets an attempt wait; nobody there refuses at once
@@ -36,6 +38,8 @@
     private final Runnable done;
     private List<Listener> listeners;
     private long stopAt;
+    private long stepAt;
+    private long readUntil = Long.MIN_VALUE;
     private int open;
 
     /**
@@ -65,6 +69,7 @@
     void begin(List<Listener> all, boolean shared, Config config) {
         listeners = List.copyOf(all);
         long noticeAt = timers.now();
+        stepAt = noticeAt + PROBE_MS * MILLI;
         open = listeners.size();
         if (open == 0) {
             go(noticeAt, false, config);
@@ -103,14 +108,21 @@
         step();
     }
 
+    /** The last moment does not come while the sockets hold what was sent as the process stood still. */
     private void step() {
-        boolean last = timers.now() >= stopAt - LAST_MOMENT;
+        long now = timers.now();
+        if (now - stepAt > STOOD_STILL) {
+            readUntil = now + TO_READ;
+            log.line("stood-still late_ms=" + (now - stepAt) / MILLI);
+        }
+        stepAt = now + PERIOD;
+        boolean last = now >= Math.max(stopAt - LAST_MOMENT, readUntil);
         listeners.forEach(one -> one.trim(last ? 0 : PERIOD, Reason.DRAIN));
         if (last || broker.owed() == 0 && listeners.stream().allMatch(one -> one.open() == 0)) {
             log.line("leave owed=" + broker.owed());
-            done.run();
+            loop.execute(done); // behind what was answered in this turn
         } else {
-            timers.at(timers.now() + PERIOD, this::step);
+            timers.at(stepAt, this::step);
         }
     }
 }
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -32,6 +32,7 @@
 import mothwing.net.Dialer;
 import mothwing.net.Listener;
 import mothwing.net.Reason;
+import mothwing.net.Turns;
 import mothwing.pool.Pool;
 
 /** One shop server: the parts, wired together on one event loop, from its start to its end. */
@@ -105,6 +106,9 @@
         if (ajp != null) {
             fronts.add(new Front(listener("ajp", () -> new AjpConnection(broker, log, counters), most, PATIENCE), ajp));
         }
+        Turns turns = new Turns(timers);
+        broker.shedWith(turns::sheds);
+        fronts.forEach(one -> one.listener().inTurns(turns));
         if (config.management() == null) {
             listenNow(fronts);
         } else {
--- a/src/test/java/mothwing/BrainTest.java
+++ b/src/test/java/mothwing/BrainTest.java
@@ -345,6 +345,27 @@
         assertTrue(host.actions.stream().anyMatch(one -> one.startsWith("say 0.")));
     }
 
+    /** Guards against a server short of processor time that takes its own lateness for the cost of the work. */
+    @Test
+    void whoIsLateAgainAndAgainTakesThePoolsWordForWhatARunTook() {
+        for (long told : new long[] {SECOND / 10, 0}) {
+            RecordingHost host = host();
+            host.gauges(0.5, 1);
+            for (int i = 0; i < 16; i++) {
+                host.read(request(host, "late" + i, SAVE));
+                for (int j = 0; j < 3; j++) {
+                    host.jump(SECOND * 3 / 10);
+                    host.passUntil(host.now());
+                }
+                host.finish("late" + i, Outcome.GOOD, told);
+            }
+            host.gauges(1, 2);
+            host.passUntil(host.now() + SECOND / 10);
+            host.read(request(host, "next", SAVE, null, SECOND * 6 / 10));
+            assertEquals(told > 0, host.did("start next"), "told " + told);
+        }
+    }
+
     @Test
     void sameEventsLeadToTheSameActions() {
         assertEquals(script(), script());
