--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -608,7 +608,7 @@
             return;
         }
         close(job);
-        job.used = late && took > 0 ? Math.min(job.used, took) : job.used; // the rest is our own lateness
+        job.used = took > 0 && job.used - took > sample ? took : job.used; // the rest: we heard of it late
         if (!replayed && outcome == Outcome.GOOD) {
             account(RUNS, true);
             learn(job);
--- a/src/main/java/mothwing/lab/Served.java
+++ b/src/main/java/mothwing/lab/Served.java
@@ -130,7 +130,8 @@
         return process.alive();
     }
 
-    long pid() {
+    /** The number of its process. */
+    public long pid() {
         return process.pid();
     }
 
--- a/src/main/java/mothwing/net/Listener.java
+++ b/src/main/java/mothwing/net/Listener.java
@@ -12,7 +12,9 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
@@ -41,9 +43,12 @@
     private final int most;
     private final Counters counters;
     private final String side;
+    private final Timers timers;
     private final Attendance attendance;
     private Entrance channel;
     private boolean shared;
+    private Company company;
+    private boolean looking;
     private Turns turns;
 
     /** A listening socket that can be closed without losing who waits at it. */
@@ -87,6 +92,7 @@
         this.side = side;
         this.maker = maker;
         this.most = most;
+        this.timers = timers;
         attendance = new Attendance(patience, timers);
         this.counters = counters;
     }
@@ -129,18 +135,69 @@
                     }
                 });
         if (shared) {
-            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+            company = new Company(most, timers.now());
+            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
+                    .option(ChannelOption.AUTO_READ, false); // until it knows who else is there
         }
         ChannelFuture bound = bootstrap.bind(address);
         channel = (Entrance) bound.channel();
+        if (shared) {
+            bound.addListener(done -> look());
+        }
         return bound;
     }
 
+    private int bound() {
+        return company == null ? most : Math.max(1, company.bound(timers.now()));
+    }
+
+    /**
+     * Where the address may be shared: looks whether another process is there, if that may matter now, and makes room down to
+     * what is left to this one. To be called every few milliseconds, on the event loop.
+     */
+    public void look() {
+        if (company == null || !channel.isOpen() || channel.localAddress() == null) {
+            return;
+        }
+        for (int over = company.excess(timers.now(), attendance.size()); over > 0; over--) {
+            attendance.makeRoom();
+        }
+        channel.config().setAutoRead(company.bound(timers.now()) > 0);
+        long at = timers.now();
+        if (looking || !company.wantsLook(at, attendance.size())) {
+            return;
+        }
+        looking = true;
+        int own = attendance.size();
+        InetSocketAddress address = channel.localAddress();
+        GlobalEventExecutor.INSTANCE.execute(() -> { // the list may be long
+            Neighbours seen = null;
+            try {
+                seen = Neighbours.at(address, Neighbours.LISTS);
+            } catch (IOException | UncheckedIOException none) {
+                seen = null; // not Linux, or not to be read: it goes on as if alone
+            }
+            Neighbours said = seen;
+            channel.eventLoop().execute(() -> looked(at, Math.min(own, attendance.size()), said));
+        });
+    }
+
+    private void looked(long at, int own, Neighbours seen) {
+        looking = false;
+        if (seen == null) {
+            counters.add(side + "-no-list-of-sockets");
+            company.blind();
+        } else {
+            company.saw(at, seen.listeners() > 1, seen.connections() - own);
+        }
+        look();
+    }
+
     private void accept(Channel accepted) {
-        if (attendance.size() >= most) {
+        if (attendance.size() >= bound()) {
             attendance.makeRoom();
         }
-        if (attendance.size() >= most) {
+        if (attendance.size() >= bound()) {
             counters.add(side + "-over-bound");
             accepted.close();
             return;
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -235,6 +235,9 @@
         if (door != null) {
             door.trim(DOOR_PATIENCE, Reason.IDLE);
         }
+        if (!leaving) {
+            listeners.forEach(Listener::look);
+        }
         if (idleSpan > 0 && !leaving) { // on the way out Leave says how long connections may stay
             listeners.forEach(one -> one.trim(idleSpan, Reason.IDLE));
         }
--- a/src/test/java/mothwing/server/UpgradeTest.java
+++ b/src/test/java/mothwing/server/UpgradeTest.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -123,6 +124,69 @@
         }
     }
 
+    /** Guards against a crowd that makes each of the two processes hold as many connections as both may together. */
+    @Test
+    void bothProcessesTogetherStayUnderTheBoundOfOne() throws Exception {
+        int most = 256 - 64; // descriptors of one, less those that are not for clients
+        int apart = 24; // sockets of both that are not clients'
+        List<Till> crowd = new ArrayList<>();
+        try (SocketChannel port = Served.port(); SocketChannel one = Served.port(); SocketChannel two = Served.port();
+                StandInPool first = new StandInPool(2); StandInPool second = new StandInPool(2);
+                Served old = new Served(folder, Served.number(port), Served.number(one), first)) {
+            InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), Served.number(port));
+            old.awaitYes();
+            come(crowd, to, most);
+            assertTrue(sockets(old) > most * 3 / 4, "alone it may have all");
+            try (Served next = new Served(folder, Served.number(port), Served.number(two), second)) {
+                int high = 0;
+                for (int more = 0; more < most || sockets(next) < most / 3; more++) {
+                    come(crowd, to, 1);
+                    high = Math.max(high, sockets(old) + sockets(next));
+                }
+                assertTrue(high <= most + apart, "both had " + high);
+                assertTrue(sockets(old) <= most / 2 + apart && sockets(next) <= most / 2 + apart, "half each");
+                old.leave();
+                assertEquals(0, old.await());
+                while (sockets(next) < most * 3 / 4) { // alone again
+                    come(crowd, to, 1);
+                }
+                assertTrue(sockets(next) <= most + apart);
+            }
+        } finally {
+            crowd.forEach(UpgradeTest::close);
+        }
+    }
+
+    /** Gateways that ask for something once and stay. */
+    private static void come(List<Till> crowd, InetSocketAddress to, int many) throws IOException {
+        for (int i = 0; i < many; i++) {
+            Till till = new Till(new Gateway.FastCgi(), to);
+            crowd.add(till);
+            try {
+                till.ask(1, "/ping", "", new byte[0]);
+                till.answer();
+            } catch (IOException closed) {
+                // it gave way to another
+            }
+        }
+    }
+
+    private static int sockets(Served one) {
+        try (var all = Files.list(Path.of("/proc/" + one.pid() + "/fd"))) {
+            return (int) all.filter(UpgradeTest::isSocket).count();
+        } catch (IOException gone) {
+            return 0;
+        }
+    }
+
+    private static boolean isSocket(Path descriptor) {
+        try {
+            return Files.readSymbolicLink(descriptor).toString().startsWith("socket:");
+        } catch (IOException closed) {
+            return false;
+        }
+    }
+
     /** Guards against a new process that cannot listen and says that all went well, or takes the old one with it. */
     @Test
     void aNewProcessThatFailsToStartLeavesTheOldOneServing() throws Exception {
