--- a/src/main/java/mothwing/cli/SettingsCheck.java
+++ b/src/main/java/mothwing/cli/SettingsCheck.java
@@ -14,7 +14,8 @@
 
     static int run(Path file, PrintStream out) throws IOException {
         Site site = SiteScript.read(file);
-        out.println("good: ajp " + (site.ajp() == null ? "off" : "on " + site.ajp()) + ", dns "
+        out.println("good: ajp " + (site.ajp() == null ? "off" : "on " + site.ajp()) + ", fleet "
+                + (site.fleet() == null ? "off" : site.fleet().name() + " on " + site.fleet().listen()) + ", dns "
                 + (site.dns() == null ? "off" : "on " + site.dns().listen()));
         if (site.dns() != null) {
             for (Site.Key key : site.dns().keys()) {
