Put together what the change wrote twice; nothing looked up for shedding

What stood twice has one place now: an address as host and port (Addresses.text, for three copies), the rig's loopback addresses, the rule for names of a fleet and its members (Site.Fleet), the kinds of faults that virtual time does not have (Fault.PROCESSES_ONLY, of which the drawn kinds are the rest), how long the two stages wait for the last callers (two formulas; the tighter one holds for both), the start of a fleet in its trials, and what members show and watch print.

Simpler: Codec writes and reads its head by a ByteBuffer; Peer loses checks that could not come true; Neighbours a branch that Java's addresses never reach; the table of members reckons each column's width once, not for every cell. On the path of each request Broker.sheds cuts out and looks up the class only where a share is being refused; before it did so for every request.

Left as it is: Leave and Attendance each see a standstill by their own bound (100 and 150 ms), as one bound for both would change one of them; the order in Brain.reachable, which is ORDER's, written out for its cost.

--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -158,11 +158,15 @@
      * Whether a request that was read is to be refused at once, before its fields are looked at: this process is so far
      * behind that deciding would cost more than it has. Such a request is counted as refused.
      *
-     * @param kind the name of its class; what is of no class is never refused so
+     * @param path the path it was sent to; what is of no class is never refused so
      * @return the milliseconds to stay away that the refusal advises, or -1 where the request is to be {@link #read}
      */
-    public long sheds(String kind) {
-        if (controller == null || departure.going() || inForce.known(kind) == null || !shed.getAsBoolean()) {
+    public long sheds(String path) {
+        if (controller == null || departure.going() || !path.startsWith(Arrival.PATH) || !shed.getAsBoolean()) {
+            return -1;
+        }
+        String kind = path.substring(Arrival.PATH.length());
+        if (inForce.known(kind) == null) {
             return -1;
         }
         counters.add("read");
--- a/src/main/java/mothwing/cli/Members.java
+++ b/src/main/java/mothwing/cli/Members.java
@@ -21,12 +21,8 @@
     /** Prints it once. The status is 0, or 1 where the server says no. */
     static int show(String server, boolean json, PrintStream out) throws IOException {
         String said = Manage.call(server, "MEMBERS");
-        if (said.startsWith("NO")) {
-            out.print(said);
-            return 1;
-        }
-        out.print(json ? said.lines().findFirst().orElse("") + "\n" : table(said));
-        return 0;
+        out.print(shown(said, json));
+        return said.startsWith("NO") ? 1 : 0;
     }
 
     /** Prints it whenever it has changed, until the process is ended or the server no longer answers. */
@@ -34,23 +30,30 @@
         String before = "";
         while (true) {
             String said = Manage.call(server, "MEMBERS");
-            if (said.startsWith("NO")) {
-                out.print(said);
-                return 1;
-            }
             if (!said.equals(before)) {
-                out.print((json ? said.lines().findFirst().orElse("") : table(said)) + "\n");
+                out.print(shown(said, json) + (json || said.startsWith("NO") ? "" : "\n"));
                 out.flush();
                 before = said;
             }
+            if (said.startsWith("NO")) {
+                return 1;
+            }
             Thread.sleep(PERIOD_MS);
         }
     }
 
+    private static String shown(String said, boolean json) throws IOException {
+        return said.startsWith("NO") ? said : json ? first(said) + "\n" : table(said);
+    }
+
+    private static String first(String said) {
+        return said.lines().findFirst().orElse("");
+    }
+
     /** The reply to MEMBERS as people read it. */
     static String table(String said) throws IOException {
         try {
-            JsonObject all = JsonParser.parseString(said.lines().findFirst().orElse("")).getAsJsonObject();
+            JsonObject all = JsonParser.parseString(first(said)).getAsJsonObject();
             List<List<String>> rows = new ArrayList<>();
             rows.add(COLUMNS);
             for (JsonElement one : all.getAsJsonArray("members")) {
@@ -59,15 +62,12 @@
             StringBuilder text = new StringBuilder("fleet " + all.get("fleet").getAsString() + ", seen by "
                     + all.get("self").getAsString() + ", which is " + all.get("state").getAsString() + "; version "
                     + all.get("version").getAsString() + "\n");
-            for (List<String> row : rows) {
-                StringBuilder line = new StringBuilder();
-                for (int i = 0; i < row.size(); i++) {
-                    int column = i;
-                    int width = rows.stream().mapToInt(each -> each.get(column).length()).max().orElse(0);
-                    line.append(String.format("%-" + width + "s  ", row.get(i)));
-                }
-                text.append("  ").append(line.toString().stripTrailing()).append('\n');
+            StringBuilder form = new StringBuilder();
+            for (int i = 0; i < COLUMNS.size(); i++) {
+                int column = i;
+                form.append("  %-").append(rows.stream().mapToInt(row -> row.get(column).length()).max().orElse(1)).append('s');
             }
+            rows.forEach(row -> text.append(String.format(form.toString(), row.toArray()).stripTrailing()).append('\n'));
             return text.toString();
         } catch (JsonParseException | IllegalStateException | NullPointerException bad) {
             throw new IOException("the server's reply is not understood: " + bad.getMessage());
--- a/src/main/java/mothwing/lab/Drawn.java
+++ b/src/main/java/mothwing/lab/Drawn.java
@@ -16,8 +16,7 @@
  */
 record Drawn(int faults, double longest, Set<Kind> kinds) {
     /** The kinds that both stages play. */
-    static final Set<Kind> BOTH = Set.copyOf(EnumSet.of(Kind.CUT, Kind.SWALLOW, Kind.DELAY, Kind.LOSE, Kind.SLOW, Kind.SEVER,
-            Kind.KILL, Kind.WIPE, Kind.STOP, Kind.LEAVE, Kind.DIP));
+    static final Set<Kind> BOTH = both();
     private static final double LEAST = 0.05;
     private static final double MOST_DELAY_MS = 400;
     private static final double LEAST_BYTES = 2000;
@@ -26,6 +25,13 @@
         kinds = Set.copyOf(kinds);
     }
 
+    private static Set<Kind> both() {
+        Set<Kind> all = EnumSet.allOf(Kind.class);
+        all.removeAll(Fault.PROCESSES_ONLY);
+        all.remove(Kind.HEAL); // it takes back what a script has put in force
+        return Set.copyOf(all);
+    }
+
     /** Draws the faults of a trial by its seed: always the same. */
     List<Fault> draw(Trial trial) {
         Random random = new Random(trial.seed() * 31 + 17);
--- a/src/main/java/mothwing/lab/Fault.java
+++ b/src/main/java/mothwing/lab/Fault.java
@@ -1,8 +1,10 @@
 package mothwing.lab;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 
 /**
  * One fault of a schedule.
@@ -71,6 +73,9 @@
         }
     }
 
+    /** What virtual time does not have. */
+    static final Set<Kind> PROCESSES_ONLY = EnumSet.of(Kind.REPEAT, Kind.FLIP, Kind.UPGRADE, Kind.CROWD);
+
     Fault {
         from = List.copyOf(from);
         to = List.copyOf(to);
--- a/src/main/java/mothwing/lab/FleetStage.java
+++ b/src/main/java/mothwing/lab/FleetStage.java
@@ -21,6 +21,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import mothwing.settings.Addresses;
 
 /** Shop servers that are one fleet, as processes, with the relay in every direction between any two of them. */
 final class FleetStage implements AutoCloseable {
@@ -43,12 +44,12 @@
             this.name = name;
             zone = "z" + inZone;
             folder = Files.createDirectories(disks.resolve(name));
-            InetAddress own = address(OWN_NET, place);
+            InetAddress own = ProcessStage.address(OWN_NET, place);
             relay.name(own, name);
             try (ServerSocket free = new ServerSocket(0, 1, own)) {
                 listen = (InetSocketAddress) free.getLocalSocketAddress();
             }
-            advertise = relay.open(name, "nobody", address(RELAY_NET, place), listen);
+            advertise = relay.open(name, "nobody", ProcessStage.address(RELAY_NET, place), listen);
             relay.openDatagrams(name, advertise, listen);
             clients = Served.port(own);
             door = Served.port(own);
@@ -62,8 +63,8 @@
         /** The same under a name, in a fleet. */
         void start(String as, String fleet, List<Machine> seeds) throws IOException {
             Path site = Files.writeString(folder.resolve("site.star"), "fleet(name = \"" + fleet + "\", listen = \""
-                    + text(listen) + "\", advertise = \"" + text(advertise) + "\", seeds = ["
-                    + String.join(", ", seeds.stream().map(one -> "\"" + text(one.advertise) + "\"").toList())
+                    + Addresses.text(listen) + "\", advertise = \"" + Addresses.text(advertise) + "\", seeds = ["
+                    + String.join(", ", seeds.stream().map(one -> "\"" + Addresses.text(one.advertise) + "\"").toList())
                     + "], zone = \"" + zone + "\")\n");
             Served.Place place = new Served.Place(as, (InetSocketAddress) clients.getLocalAddress(),
                     (InetSocketAddress) door.getLocalAddress(), pool.address(), new InetSocketAddress("127.0.0.1", 1));
@@ -119,20 +120,11 @@
         }
     }
 
-    private static InetAddress address(int net, int host) throws IOException {
-        return InetAddress.getByAddress(new byte[] {127, 0, (byte) net, (byte) host});
-    }
-
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
     /** Starts all, with the first two as seeds. */
-    FleetStage startAll() throws IOException {
+    void startAll() throws IOException {
         for (Machine one : machines) {
             one.start(machines.subList(0, 2));
         }
-        return this;
     }
 
     Machine machine(String name) {
--- a/src/main/java/mothwing/lab/ProcessStage.java
+++ b/src/main/java/mothwing/lab/ProcessStage.java
@@ -136,7 +136,8 @@
         return thread;
     }
 
-    private static InetAddress address(int net, int host) throws IOException {
+    /** The loopback address of a host of one of the rig's nets. */
+    static InetAddress address(int net, int host) throws IOException {
         return InetAddress.getByAddress(new byte[] {127, 0, (byte) net, (byte) host});
     }
 
@@ -204,8 +205,7 @@
         });
         long end = (long) (trial.seconds() * SECOND);
         waitUntil(end, progress);
-        long last = end + trial.load().patienceMs() * MILLI * 2
-                + (long) (trial.load().retries() * (trial.load().patienceMs() + trial.load().backoffMs() * 2) * MILLI);
+        long last = end + trial.load().longestMs() * MILLI;
         while (epoch.now() < last && onLoop(callers::waiting) > 0) {
             TimeUnit.MILLISECONDS.sleep(LOOK / MILLI);
         }
--- a/src/main/java/mothwing/lab/Served.java
+++ b/src/main/java/mothwing/lab/Served.java
@@ -15,6 +15,7 @@
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import mothwing.settings.Addresses;
 
 /** A shop server as a process of its own, with an operators' door; its log is read as it comes. */
 public final class Served implements AutoCloseable {
@@ -87,15 +88,12 @@
                 + "'FallMultiple':8,'Fall':2000000},'Limits':{'RetryAfter':true,'MaxRetryAfter':1000000},"
                 + "'Extra':{'Cores':%d,'MemoryKb':900000,'RunMemFactor':16,'Halt':'suspend','Idle':30000000,"
                 + "'Gauges':['cpu_busy','runnable','mem_used','sockets'],'Say':'threshold'}}}").replace('\'', '"'),
-                place.name(), text(place.listen()), text(place.door()), text(place.pool()), text(place.announce()),
+                place.name(), Addresses.text(place.listen()), Addresses.text(place.door()), Addresses.text(place.pool()),
+                Addresses.text(place.announce()),
                 fleet.stopMs(), fleet.memoryMb(), fleet.sockets(), deadline * 2 / 5, deadline, deadline * 2 / 5, deadline,
                 fleet.cores());
     }
 
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
     /** A port on loopback that stays taken until the socket is closed, and that servers may share meanwhile. */
     public static SocketChannel port() throws IOException {
         return port(InetAddress.getLoopbackAddress());
--- a/src/main/java/mothwing/lab/SimulationStage.java
+++ b/src/main/java/mothwing/lab/SimulationStage.java
@@ -92,8 +92,7 @@
     private void finish(Callers callers, Map<String, Shopfront> gateways) {
         long end = (long) (trial.seconds() * SECOND);
         time.until(end);
-        long last = end + (trial.load().retries() + 2) * (trial.load().patienceMs() + (long) trial.load().backoffMs() * 2)
-                * MILLI;
+        long last = end + trial.load().longestMs() * MILLI;
         while (time.now() < last && callers.waiting() > 0) {
             time.until(time.now() + LEAVE_LOOK);
         }
@@ -122,7 +121,6 @@
         history.applied.add(new History.Applied(time.now(), Long.MAX_VALUE / 2, fault));
         inForce.add(fault);
         switch (fault.kind()) {
-            case UPGRADE, CROWD, FLIP, REPEAT -> history.troubles.add(fault.kind().word() + " is played by processes only");
             case SEVER -> {
                 machines.values().forEach(one -> one.severed(fault));
                 settle(place, fault);
@@ -133,7 +131,9 @@
                 settle(place, fault);
             }
             default -> {
-                if (fault.kind().link) {
+                if (Fault.PROCESSES_ONLY.contains(fault.kind())) {
+                    history.troubles.add(fault.kind().word() + " is played by processes only");
+                } else if (fault.kind().link) {
                     links.apply(fault);
                 } else {
                     fault.from().forEach(name -> machines.get(Trial.machine(name)).strike(fault));
--- a/src/main/java/mothwing/lab/Trial.java
+++ b/src/main/java/mothwing/lab/Trial.java
@@ -78,6 +78,11 @@
         Load {
             habits = List.copyOf(habits);
         }
+
+        /** Milliseconds after the last caller came in which all have their answers or have given up. */
+        long longestMs() {
+            return 2 * patienceMs + (long) (retries * (patienceMs + backoffMs * 2));
+        }
     }
 
     Trial {
--- a/src/main/java/mothwing/net/Neighbours.java
+++ b/src/main/java/mothwing/net/Neighbours.java
@@ -1,7 +1,6 @@
 package mothwing.net;
 
 import java.io.IOException;
-import java.net.Inet4Address;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -81,7 +80,6 @@
         for (int i = 0; i < bytes.length; i++) {
             turned[i] = bytes[i / WORD * WORD + WORD - 1 - i % WORD];
         }
-        String text = HexFormat.of().withUpperCase().formatHex(turned);
-        return address instanceof Inet4Address ? text : text.startsWith(MAPPED) ? text.substring(MAPPED.length()) : text;
+        return HexFormat.of().withUpperCase().formatHex(turned);
     }
 }
--- a/src/main/java/mothwing/net/Reply.java
+++ b/src/main/java/mothwing/net/Reply.java
@@ -60,7 +60,7 @@
             answer(200, List.of(), (broker.counts() + "\n").getBytes(StandardCharsets.UTF_8));
             return;
         }
-        long advice = path.startsWith(Arrival.PATH) ? broker.sheds(path.substring(Arrival.PATH.length())) : -1;
+        long advice = broker.sheds(path);
         if (advice >= 0) {
             refused(false, advice);
             return;
--- a/src/main/java/mothwing/peer/Codec.java
+++ b/src/main/java/mothwing/peer/Codec.java
@@ -1,6 +1,8 @@
 package mothwing.peer;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32C;
@@ -21,10 +23,10 @@
     /** Bytes before the map. */
     static final int HEAD = 7;
 
-    private static final int MAGIC = 0x6d50; // "mP"
-    private static final int VERSION = 1;
+    private static final short MAGIC = 0x6d50; // "mP"
+    private static final byte VERSION = 1;
     private static final int MOST_TEXT = 255;
-    private static final int CRC_BYTES = 4;
+    private static final int CRC_AT = 3;
 
     /** Bytes that are no message of a version that is understood; the message is a reason code. */
     static final class Bad extends IOException {
@@ -54,7 +56,7 @@
         static final int BY = 7;
     }
 
-    static byte[] bytes(Message message) throws IOException {
+    static byte[] bytes(Message message) {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
             out.packMapHeader(6);
             out.packInt(Keys.CLUSTER).packString(message.cluster());
@@ -68,22 +70,16 @@
                 claim(out, one);
             }
             byte[] map = out.toByteArray();
-            byte[] all = new byte[HEAD + map.length];
-            all[0] = (byte) (MAGIC >> Byte.SIZE);
-            all[1] = (byte) MAGIC;
-            all[2] = VERSION;
-            System.arraycopy(map, 0, all, HEAD, map.length);
-            int crc = crc(all);
-            for (int i = 0; i < CRC_BYTES; i++) {
-                all[3 + i] = (byte) (crc >> (CRC_BYTES - 1 - i) * Byte.SIZE);
-            }
-            return all;
+            ByteBuffer all = ByteBuffer.allocate(HEAD + map.length).putShort(MAGIC).put(VERSION).put(HEAD, map);
+            return all.putInt(CRC_AT, crc(all.array())).array();
+        } catch (IOException never) {
+            throw new UncheckedIOException(never); // it writes to memory
         }
     }
 
     private static int crc(byte[] all) {
         CRC32C crc = new CRC32C();
-        crc.update(all, 0, 3);
+        crc.update(all, 0, CRC_AT);
         crc.update(all, HEAD, all.length - HEAD);
         return (int) crc.getValue();
     }
@@ -107,16 +103,12 @@
      * @throws Bad where they are none
      */
     static Message message(byte[] all) throws Bad {
-        if (all.length < HEAD || all[0] != (byte) (MAGIC >> Byte.SIZE) || all[1] != (byte) MAGIC) {
+        ByteBuffer bytes = ByteBuffer.wrap(all);
+        if (all.length < HEAD || bytes.getShort() != MAGIC) {
             throw new Bad("not-ours");
-        }
-        int crc = 0;
-        for (int i = 0; i < CRC_BYTES; i++) {
-            crc = crc << Byte.SIZE | all[3 + i] & 0xFF;
-        }
-        if (crc != crc(all)) {
+        } else if (bytes.getInt(CRC_AT) != crc(all)) {
             throw new Bad("checksum");
-        } else if (all[2] > VERSION) {
+        } else if (bytes.get() > VERSION) {
             throw new Bad("newer-version");
         }
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(all, HEAD, all.length - HEAD)) {
--- a/src/main/java/mothwing/peer/Peer.java
+++ b/src/main/java/mothwing/peer/Peer.java
@@ -18,7 +18,6 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -90,15 +89,12 @@
         this.timers = timers;
         this.counters = counters;
         this.log = log;
-        Claim self = new Claim(name, random.nextLong() >>> 1, text(fleet.advertise()), fleet.zone(), 0, State.ALIVE, name);
-        membership = new Membership(fleet.name(), self, fleet.seeds().stream().map(Peer::text).toList(), Pace.USUAL, timers,
+        Claim self = new Claim(name, random.nextLong() >>> 1, Addresses.text(fleet.advertise()), fleet.zone(), 0, State.ALIVE,
+                name);
+        membership = new Membership(fleet.name(), self, fleet.seeds().stream().map(Addresses::text).toList(), Pace.USUAL, timers,
                 random, this);
     }
 
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
     /**
      * Begins. Where its address is taken, by the process before it in an upgrade, it tries again until that has left; it
      * belongs to nobody until then. On the event loop only.
@@ -131,8 +127,8 @@
                     return;
                 }
                 datagrams = second.channel();
-                log.line("fleet-joins fleet=" + fleet.name() + " listen=" + text(fleet.listen()) + " advertise="
-                        + text(fleet.advertise()) + " seeds=" + fleet.seeds().size() + " zone=" + fleet.zone());
+                log.line("fleet-joins fleet=" + fleet.name() + " listen=" + Addresses.text(fleet.listen()) + " advertise="
+                        + Addresses.text(fleet.advertise()) + " seeds=" + fleet.seeds().size() + " zone=" + fleet.zone());
                 membership.start();
             });
         });
@@ -141,7 +137,7 @@
     private void again(Throwable why) {
         if (!complained) {
             complained = true;
-            log.line("fleet-waits listen=" + text(fleet.listen()) + " what=\"" + why.getMessage() + "\"");
+            log.line("fleet-waits listen=" + Addresses.text(fleet.listen()) + " what=\"" + why.getMessage() + "\"");
         }
         timers.at(timers.now() + BIND_AGAIN, this::start);
     }
@@ -207,9 +203,9 @@
 
     @Override
     public void send(String address, Message message) {
-        byte[] bytes = bytes(message);
+        byte[] bytes = Codec.bytes(message);
         InetSocketAddress to = address(address);
-        if (datagrams != null && bytes != null && to != null) {
+        if (to != null) {
             counters.add("peer-datagrams-out");
             counters.add("peer-bytes-out", bytes.length);
             datagrams.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to), datagrams.voidPromise());
@@ -218,12 +214,11 @@
 
     @Override
     public void stream(String address, Message message) {
-        byte[] bytes = bytes(message);
+        byte[] bytes = Codec.bytes(message);
         InetSocketAddress to = address(address);
-        if (bytes == null || to == null || leaving && datagrams == null) {
+        if (to == null) {
             return;
-        }
-        if (streams.size() >= MOST_STREAMS) {
+        } else if (streams.size() >= MOST_STREAMS) {
             counters.add("peer-streams-over-bound");
             return;
         }
@@ -250,15 +245,6 @@
         timers.at(timers.now() + STREAM_PATIENCE, one::close);
     }
 
-    private byte[] bytes(Message message) {
-        try {
-            return Codec.bytes(message);
-        } catch (IOException never) {
-            counters.add("faults");
-            return null;
-        }
-    }
-
     private InetSocketAddress address(String text) {
         try {
             return Addresses.read(text, "address");
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -46,7 +46,6 @@
     private static final int MOST_OPERATORS = 16;
     private static final long PATIENCE = 2500 * MILLI; // some write for 2 s; bad clients are owed an end within 3 s
     private static final long DOOR_PATIENCE = 10_000 * MILLI; // operators may type; others make room at the bound
-    private static final String NAME = "[A-Za-z0-9._-]{1,31}";
     private static final int PAGE = 8192;
     private static final int CHUNK_ORDER = 5; // chunks of 256 KiB
 
@@ -101,9 +100,9 @@
      * @throws IOException where the server's name cannot travel
      */
     public void join(Site.Fleet fleet) throws IOException {
-        if (!config.name().matches(NAME)) {
-            throw new IOException("field name: \"" + config.name() + "\" is not 1 to 31 letters, digits, '.', '_' or '-', "
-                    + "as a member of a fleet is called");
+        if (!Site.Fleet.mayBeCalled(config.name())) {
+            throw new IOException("field name: \"" + config.name() + "\" is not " + Site.Fleet.NAMED
+                    + ", as a member of a fleet is called");
         }
         peer = new Peer(fleet, config.name(), loop, timers, new SecureRandom(), counters, log);
     }
--- a/src/main/java/mothwing/settings/Addresses.java
+++ b/src/main/java/mothwing/settings/Addresses.java
@@ -7,6 +7,16 @@
     private Addresses() {
     }
 
+    /**
+     * An address as operators write it.
+     *
+     * @param address an address that is resolved
+     * @return host and port
+     */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /**
      * Reads an address, without asking any name service.
      *
--- a/src/main/java/mothwing/settings/Site.java
+++ b/src/main/java/mothwing/settings/Site.java
@@ -24,6 +24,18 @@
      */
     public record Fleet(String name, InetSocketAddress listen, InetSocketAddress advertise, List<InetSocketAddress> seeds,
             String zone) {
+        /** What a fleet, a zone or a member may be called, in words. */
+        public static final String NAMED = "1 to 31 letters, digits, '.', '_' or '-'";
+
+        /**
+         * Whether a fleet, a zone or a member may be called so: names travel in each datagram, so they are short.
+         *
+         * @param text a name
+         * @return true if so
+         */
+        public static boolean mayBeCalled(String text) {
+            return text.matches("[A-Za-z0-9._-]{1,31}");
+        }
     }
 
     /**
--- a/src/main/java/mothwing/settings/SiteScript.java
+++ b/src/main/java/mothwing/settings/SiteScript.java
@@ -121,10 +121,9 @@
         return null;
     }
 
-    /** Names travel in each datagram, so they are short. */
     private static String word(Arguments call, String name, String text) throws ScriptError {
-        if (!text.matches("[A-Za-z0-9._-]{1,31}")) {
-            throw call.wrong("argument " + name + ": \"" + text + "\" is not 1 to 31 letters, digits, '.', '_' or '-'");
+        if (!Site.Fleet.mayBeCalled(text)) {
+            throw call.wrong("argument " + name + ": \"" + text + "\" is not " + Site.Fleet.NAMED);
         }
         return text;
     }
--- a/src/test/java/mothwing/lab/FleetTest.java
+++ b/src/test/java/mothwing/lab/FleetTest.java
@@ -39,6 +39,13 @@
         }
     }
 
+    /** Five servers that know each other. */
+    private void met(long seed) throws IOException {
+        stage = new FleetStage(5, seed, disks);
+        stage.startAll();
+        awaitAgreed(stage.machines, all(5));
+    }
+
     private static Map<String, String> all(int many, String... others) {
         Map<String, String> all = new TreeMap<>();
         for (int i = 1; i <= many; i++) {
@@ -79,9 +86,7 @@
     /** Lost, repeated and damaged datagrams, and a cut that others see round, kill nobody. */
     @Test
     void whatOthersSeeRoundKillsNobody() throws Exception {
-        stage = new FleetStage(5, 1, disks);
-        stage.startAll();
-        awaitAgreed(stage.machines, all(5));
+        met(1);
         List<String> names = stage.machines.stream().map(one -> one.name).toList();
         List<Fault> faults = new ArrayList<>();
         faults.add(stage.apply(Fault.Kind.LOSE, names, names, true, 0.3));
@@ -102,9 +107,7 @@
     /** Who is gone is known to be gone, each in its way; who comes back is taken back, inside its tombstone too. */
     @Test
     void whoGoesAndComesBackIsKnownByAll() throws Exception {
-        stage = new FleetStage(5, 2, disks);
-        stage.startAll();
-        awaitAgreed(stage.machines, all(5));
+        met(2);
         Machine third = stage.machine("s3");
         third.now.kill();
         awaitAgreed(but("s3"), all(5, "s3=dead"));
@@ -127,9 +130,7 @@
     /** Each half of a split goes on by itself, the smaller one knows that it is alone, and both meet again. */
     @Test
     void halvesOfASplitMeetAgain() throws Exception {
-        stage = new FleetStage(5, 3, disks);
-        stage.startAll();
-        awaitAgreed(stage.machines, all(5));
+        met(3);
         List<String> small = List.of("s4", "s5");
         Fault split = stage.apply(Fault.Kind.SWALLOW, small, List.of("s1", "s2", "s3"), false, 0);
         awaitAgreed(but("s4", "s5"), all(5, "s4=dead", "s5=dead"));
@@ -143,9 +144,7 @@
     /** With all seeds gone the others go on, and whoever knows one of them comes in; then all start again, one after the other. */
     @Test
     void withoutSeedsTheOthersGoOnAndAWaveOfRestartsIsFollowed() throws Exception {
-        stage = new FleetStage(5, 5, disks);
-        stage.startAll();
-        awaitAgreed(stage.machines, all(5));
+        met(5);
         Machine first = stage.machine("s1");
         first.now.kill();
         stage.machine("s2").now.kill();
@@ -166,9 +165,7 @@
     /** A member that stands still for 3 s in every 8 counts as flapping, and one that stands still for 1 s is missed by nobody. */
     @Test
     void whoStandsStillAgainAndAgainIsMarked() throws Exception {
-        stage = new FleetStage(5, 6, disks);
-        stage.startAll();
-        awaitAgreed(stage.machines, all(5));
+        met(6);
         Machine fourth = stage.machine("s4");
         for (Machine one : stage.machines) {
             one.now.signal("STOP");
--- a/src/test/java/mothwing/net/TurnsTest.java
+++ b/src/test/java/mothwing/net/TurnsTest.java
@@ -13,8 +13,6 @@
 import java.util.List;
 import mothwing.broker.Counters;
 import mothwing.broker.Timers;
-import mothwing.lab.Stand;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** What one turn of the loop takes of what clients sent, where taking costs time. */
@@ -26,7 +24,6 @@
     private final Turns turns = new Turns(clock);
     private final List<String> taken = new ArrayList<>();
     private final Counters counters = new Counters();
-    private Stand stand;
 
     /** A clock that moves as work is done. */
     private static final class Clock implements Timers {
@@ -80,15 +77,10 @@
         }
     }
 
-    @BeforeEach
-    void anew() {
-        stand = new Stand();
-    }
-
     private EmbeddedChannel sent(String letters) {
         Letters connection = new Letters();
         connection.inTurns(turns);
-        EmbeddedChannel channel = stand.open(connection);
+        EmbeddedChannel channel = new EmbeddedChannel(connection);
         channel.writeInbound(Unpooled.copiedBuffer(letters, StandardCharsets.US_ASCII));
         return channel;
     }
