Make the calls of runs that stand at one; refuse no settings at start

PoolLink passed over the notice 'blocked', and InForce.unsupported turned down classes that call or are guarded.

Change: mothwing.ledger, a client like pool and announce, makes the calls over one link; the broker gives the module atCall and callEnded and carries out call and skipCall; the pool learns supply and pass. Each call ends once; a late answer to a former call of the same request is never taken for the answer to its next one (a new link); a result that may have been lost with a pool link is not sent twice.

--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -32,6 +32,7 @@
     private static final long MILLI = 1000;
     private static final long GAUGES_WAIT = 500 * MILLI; // over a stall of the machine, which holds timers off
     private static final long CHECK_WAIT = 2000 * MILLI;
+    private static final long CALL_SLACK = 20 * MILLI; // past its limit: the tier below says so itself, over the network
     private static final long MOST_AHEAD = 1000; // milliseconds that a gateway's clock may be ahead of ours
     private static final long WATCH = 20 * MILLI; // between looks at due times
     private static final long LOST = 10_000 * MILLI; // past its due time a stopped run has ended, or never began
@@ -49,6 +50,7 @@
     private final BiFunction<Settings, Host, Controller> maker;
     private final Workers workers;
     private final Timers timers;
+    private Calls below = Calls.NONE;
     private final Counters counters;
     private final Log log;
     private final Map<String, Exchange> open = new LinkedHashMap<>();
@@ -92,22 +94,11 @@
         gauges = new double[settings.machine().gauges().size()];
     }
 
-    /**
-     * What of these settings cannot be done here.
-     *
-     * @param settings the settings of a site
-     * @return what it is, or null
-     */
-    public static String unsupported(Settings settings) {
-        return InForce.unsupported(settings);
-    }
-
     /**
      * Takes new settings whole. Classes and tenants keep their places by name; open requests go on under the class and
      * the deadline that they were read under, and counts stay.
      *
      * @param settings the new settings of the site
-     * @throws IllegalArgumentException where they need what the protocol does not carry; nothing has changed then
      */
     public void retune(Settings settings) {
         inForce.take(settings, open.values());
@@ -152,6 +143,15 @@
         shed = asked;
     }
 
+    /**
+     * Says who makes the calls of runs that stand at one.
+     *
+     * @param tier the tier below
+     */
+    public void callWith(Calls tier) {
+        below = tier;
+    }
+
     // what fronts bring
 
     /**
@@ -226,6 +226,7 @@
         counters.add("gone");
         String id = exchange.arrival().id();
         if (open.get(id) == exchange) {
+            abandon(exchange);
             event((to, at) -> {
                 if (!exchange.inPool()) {
                     open.remove(id, exchange);
@@ -404,6 +405,12 @@
         for (Exchange one : open.values()) {
             if (one.inPool() && one.stopping()) {
                 asked |= doubt(one);
+            } else if (one.unsent()) {
+                goOn(one, one.result());
+            } else if (one.asked() != null) {
+                counters.add("relinked-at-call"); // nothing was said since it told of the call
+            } else if (one.supplied() && one.pollsBefore() >= answeredPolls) {
+                doubtSupplied(one);
             } else if (one.inPool() && one.state() == Exchange.State.RUNNING && one.pollsBefore() >= answeredPolls) {
                 if (one.begun()) {
                     one.resumed(polls);
@@ -420,6 +427,16 @@
         }
     }
 
+    /**
+     * A result may have been lost with the link. It is not said again: the run may stand at its next call by now. What may
+     * be repeated is begun again where a stop throws its work away; any other waits for its end, or its due time.
+     */
+    private void doubtSupplied(Exchange one) {
+        if (one.repeatable() && told().machine().halting() == Halting.ABORT) {
+            halt(one.arrival().id());
+        }
+    }
+
     private boolean doubt(Exchange one) {
         one.doubt(true);
         workers.suspend(one.arrival().id());
@@ -468,6 +485,7 @@
             counters.add("finished-unasked");
             return;
         }
+        abandon(one);
         if (outcome == Outcome.STOPPED && one.doubted() && one.owed() && !one.stopping()) {
             one.stopped(true); // it did run, and was stopped only to find that out: the controller need not know
             one.resumed(polls);
@@ -490,6 +508,62 @@
         event((to, at) -> to.finished(at, id, outcome, took));
     }
 
+    /**
+     * A run stands at a call.
+     *
+     * @param id the request
+     * @param content what it asks of the tier below
+     */
+    public void blocked(String id, byte[] content) {
+        Exchange one = open.get(id);
+        if (one == null || !one.inPool()) {
+            counters.add("blocked-unasked");
+            return;
+        }
+        counters.add("blocked");
+        abandon(one);
+        one.atCall(content);
+        event((to, at) -> to.atCall(at, id));
+    }
+
+    /**
+     * A call is over.
+     *
+     * @param id the request
+     * @param outcome how it ended
+     * @param result what came back, where it succeeded
+     */
+    public void callOver(String id, Outcome outcome, byte[] result) {
+        Exchange one = open.get(id);
+        if (one == null || !one.callOver()) {
+            counters.add("call-unasked");
+            return;
+        }
+        counters.add("call-" + outcome.name().toLowerCase(Locale.ROOT));
+        if (outcome == Outcome.GOOD) {
+            goOn(one, result);
+        }
+        event((to, at) -> to.callEnded(at, id, outcome, 0));
+    }
+
+    /** A run that stands at a call goes on with this, or without it for null, now or once the pool can be told. */
+    private void goOn(Exchange one, byte[] result) {
+        boolean onLink = workers.ready();
+        one.supplied(result, polls, onLink);
+        if (onLink && result != null) {
+            workers.supply(one.arrival().id(), result);
+        } else if (onLink) {
+            workers.pass(one.arrival().id());
+        }
+    }
+
+    private void abandon(Exchange one) {
+        if (one.callOver()) {
+            counters.add("call-abandoned");
+            below.abandon(one.arrival().id());
+        }
+    }
+
     /**
      * The gauges that were asked for.
      *
@@ -566,6 +640,7 @@
         long now = timers.now();
         timers.at(now + WATCH, this::watch);
         boolean due = false;
+        List<Exchange> silent = new ArrayList<>();
         List<Exchange> overdue = new ArrayList<>();
         List<Exchange> lost = new ArrayList<>();
         for (Exchange one : open.values()) {
@@ -573,10 +648,17 @@
                 lost.add(one);
             }
             due |= one.owed() && now >= one.dueAt() - WATCH;
+            if (one.calling() && now >= one.callUntil()) {
+                silent.add(one);
+            }
             if (one.owed() && now >= one.dueAt() + told().rules().answerSlack() / 2) {
                 overdue.add(one);
             }
         }
+        for (Exchange one : silent) {
+            below.abandon(one.arrival().id());
+            callOver(one.arrival().id(), Outcome.TIMED_OUT, null);
+        }
         for (Exchange one : overdue) {
             counters.add("overdue");
             log.line("overdue id=" + one);
@@ -623,6 +705,7 @@
 
     private void fail(Exchange one, String code) {
         if (one.fail(code)) {
+            abandon(one);
             counters.add("failed-" + code);
             count(one, Figures.End.FAILED);
         }
@@ -741,18 +824,31 @@
         log.line("controller " + text);
     }
 
-    // The platform's protocol carries neither calls nor marks of repeats, so no event leads to these.
-
     @Override
     public void call(String id, long until) {
-        throw new UnsupportedOperationException("call");
+        Exchange one = open.get(id);
+        if (one == null || !one.owed() || one.asked() == null || one.calling()) {
+            return;
+        }
+        long limit = Math.max(MILLI, until - timers.now());
+        one.calls(timers.now() + limit + CALL_SLACK);
+        counters.add("calls");
+        if (!below.make(id, limit / MILLI, one.asked())) {
+            callOver(id, Outcome.UNREACHED, null);
+        }
     }
 
     @Override
     public void skipCall(String id) {
-        throw new UnsupportedOperationException("skip a call");
+        Exchange one = open.get(id);
+        if (one != null && one.asked() != null && !one.calling()) {
+            counters.add("calls-left-out");
+            goOn(one, null);
+        }
     }
 
+    // The platform's protocol carries no marks of repeats, so no event leads to these.
+
     @Override
     public void remember(String id, long span) {
         throw new UnsupportedOperationException("remember");
--- a/src/main/java/mothwing/broker/Exchange.java
+++ b/src/main/java/mothwing/broker/Exchange.java
@@ -38,6 +38,12 @@
     private boolean begun;
     private boolean doubted;
     private long pollsBefore;
+    private byte[] asked;
+    private byte[] result;
+    private boolean calling;
+    private boolean supplied;
+    private boolean unsent;
+    private long callUntil;
 
     Exchange(Arrival arrival, Caller caller, boolean repeatable, long arrivedAt, long dueAt, int classPlace,
             int tenantPlace) {
@@ -170,8 +176,75 @@
         stopping = true;
     }
 
+    /** Its run stands at a call, which asks for this. */
+    void atCall(byte[] what) {
+        handedOver = true; // the pool runs it
+        noCall();
+        asked = what;
+    }
+
+    /** What its run asks for, or null where it does not stand at a call. */
+    byte[] asked() {
+        return asked;
+    }
+
+    /** The call is made, and is over for us at a time. */
+    void calls(long until) {
+        calling = true;
+        callUntil = until;
+    }
+
+    /** Whether a call is out. */
+    boolean calling() {
+        return calling;
+    }
+
+    long callUntil() {
+        return callUntil;
+    }
+
+    /** The call is out no longer. Says whether it was. */
+    boolean callOver() {
+        boolean was = calling;
+        calling = false;
+        return was;
+    }
+
+    /** The run goes on with this, or without it for null; so it was told to the pool after so many polls, or not yet. */
+    void supplied(byte[] what, long polls, boolean onLink) {
+        asked = null;
+        result = onLink ? null : what;
+        unsent = !onLink;
+        supplied = onLink;
+        pollsBefore = polls;
+    }
+
+    /** Whether the call is over and no link has carried that yet. */
+    boolean unsent() {
+        return unsent;
+    }
+
+    /** What is to be sent then; null where the run is to go on without it. */
+    byte[] result() {
+        return result;
+    }
+
+    /** Whether the last word to the pool was that a call is over, after which it has not spoken. */
+    boolean supplied() {
+        return supplied;
+    }
+
+    private void noCall() {
+        asked = null;
+        result = null;
+        calling = false;
+        supplied = false;
+        unsent = false;
+    }
+
     /** The pool stopped its run and keeps it (or, where a stop throws the work away, does not). */
     void stopped(boolean kept) {
+        noCall();
         stopping = false;
         begun = kept;
         doubted = false;
@@ -183,6 +256,7 @@
 
     /** The pool holds nothing of it any longer. */
     void left() {
+        noCall();
         inPool = false;
         stopping = false;
         doubted = false;
--- a/src/main/java/mothwing/broker/InForce.java
+++ b/src/main/java/mothwing/broker/InForce.java
@@ -22,32 +22,29 @@
      * Makes the first settings.
      *
      * @param told the settings
-     * @throws IllegalArgumentException where they need what the protocol does not carry
      */
     InForce(Settings told) {
         take(told, Set.of());
     }
 
-    /** What of these settings cannot be done, or null. */
-    static String unsupported(Settings told) {
-        return told.classes().stream().filter(one -> one.repeats() == Repeats.GUARDED || one.calls()).findFirst()
-                .map(one -> "class " + one.name() + ": the protocol carries neither marks of repeats nor calls")
-                .orElse(null);
+    /**
+     * No mark tells that a request repeats another, so each try of a guarded class is one that runs at most once: what may
+     * have run is never run again here, never refused, and its caller is told that it failed.
+     */
+    private static RequestClass read(RequestClass one) {
+        return one.repeats() != Repeats.GUARDED ? one : new RequestClass(one.name(), one.aim(), one.deadline(), one.worth(),
+                one.lateWorth(), Repeats.SINGLE_SHOT, one.window(), one.calls(), one.skipWorth());
     }
 
     /** Takes new settings; what is open goes on under the class that it was read under. */
     void take(Settings told, Collection<Exchange> open) {
-        String wrong = unsupported(told);
-        if (wrong != null) {
-            throw new IllegalArgumentException(wrong);
-        }
         BitSet classesUsed = new BitSet();
         BitSet tenantsUsed = new BitSet();
         for (Exchange one : open) {
             classesUsed.set(one.classPlace()); // what is open has one
             tenantsUsed.set(one.tenantPlace() + 1); // 0 stands for none
         }
-        classes.take(told.classes(), classesUsed::get);
+        classes.take(told.classes().stream().map(InForce::read).toList(), classesUsed::get);
         tenants.take(told.tenants(), place -> tenantsUsed.get(place + 1));
         settings = placed(told);
     }
--- a/src/main/java/mothwing/broker/Workers.java
+++ b/src/main/java/mothwing/broker/Workers.java
@@ -14,6 +14,16 @@
     /** Goes on with a paused run. */
     void proceed(String id);
 
+    /** Lets a run that stands at a call go on with its result. */
+    default void supply(String id, byte[] result) {
+        throw new UnsupportedOperationException("runs here make no calls");
+    }
+
+    /** Lets a run that stands at a call go on without it. */
+    default void pass(String id) {
+        throw new UnsupportedOperationException("runs here make no calls");
+    }
+
     /** Asks for the gauges. */
     void poll(String echo);
 
--- a/src/main/java/mothwing/lab/Stand.java
+++ b/src/main/java/mothwing/lab/Stand.java
@@ -22,7 +22,9 @@
 import mothwing.OverloadControl.Settings;
 import mothwing.OverloadControl.Signals;
 import mothwing.OverloadControl.Tenant;
+import mothwing.broker.Arrival;
 import mothwing.broker.Broker;
+import mothwing.broker.Caller;
 import mothwing.broker.Counters;
 import mothwing.broker.Exchange;
 import mothwing.broker.Timers;
@@ -44,6 +46,8 @@
     public final Map<String, byte[]> running = new LinkedHashMap<>();
     /** How often each request was handed to the pool. */
     public final Map<String, Integer> spawns = new LinkedHashMap<>();
+    /** What runs that stood at a call went on with, as it was told; null for going on without. */
+    public final Map<String, List<byte[]>> supplied = new LinkedHashMap<>();
     /** Lines of the log. */
     public final List<String> lines = new ArrayList<>();
     /** Counts. */
@@ -95,6 +99,17 @@
         return this;
     }
 
+    /** A request is read, as a front would bring it; its answer goes to the caller. */
+    public Exchange ask(String id, String kind, byte[] body, Caller caller) {
+        Arrival.Fields fields = new Arrival.Fields();
+        Gateway.fields(id, wallMs()).forEach(fields::set);
+        try {
+            return broker.read(fields.at("/call/" + kind, body), caller);
+        } catch (Arrival.Bad bad) {
+            throw new IllegalArgumentException(bad.getMessage(), bad);
+        }
+    }
+
     /** Opens a connection without a network. */
     public EmbeddedChannel open(Connection connection) {
         return new EmbeddedChannel(connection);
@@ -184,6 +199,16 @@
         running.put(id, result(id));
     }
 
+    @Override
+    public void supply(String id, byte[] result) {
+        supplied.computeIfAbsent(id, none -> new ArrayList<>()).add(result);
+    }
+
+    @Override
+    public void pass(String id) {
+        supply(id, null);
+    }
+
     @Override
     public void poll(String echo) {
         double busy = Math.min(1, running.size() / 2.0);
--- a/src/main/java/mothwing/pool/Pool.java
+++ b/src/main/java/mothwing/pool/Pool.java
@@ -18,7 +18,7 @@
  * sent on it last is read.
  */
 public final class Pool implements Workers {
-    static final Set<String> NOTICES = Set.of("bound", "finished", "polled", "verified", "unknown", "chatter");
+    static final Set<String> NOTICES = Set.of("bound", "finished", "blocked", "polled", "verified", "unknown", "chatter");
 
     private static final long MILLI = 1000;
     private static final long FIRST_WAIT = 20 * MILLI;
@@ -184,6 +184,20 @@
         }
     }
 
+    @Override
+    public void supply(String id, byte[] result) {
+        if (ready()) {
+            link.supply(id, result);
+        }
+    }
+
+    @Override
+    public void pass(String id) {
+        if (ready()) {
+            link.pass(id);
+        }
+    }
+
     @Override
     public void poll(String echo) {
         if (ready()) {
--- a/src/main/java/mothwing/pool/PoolLink.java
+++ b/src/main/java/mothwing/pool/PoolLink.java
@@ -88,6 +88,7 @@
                 poll(CAUGHT_UP);
             }
             case "finished" -> finished(notice);
+            case "blocked" -> broker.blocked(notice.text("uid"), decoded(notice.text("content", "")));
             case "polled" -> {
                 if (notice.text("echo", "").equals(CAUGHT_UP)) {
                     broker.caughtUp();
@@ -161,6 +162,17 @@
         named("proceed", "uid", id);
     }
 
+    @Override
+    public void supply(String id, byte[] result) {
+        command("{\"action\":\"supply\",\"uid\":\"" + id + "\",\"content\":\""
+                + Base64.getEncoder().encodeToString(result) + "\"}");
+    }
+
+    @Override
+    public void pass(String id) {
+        named("pass", "uid", id);
+    }
+
     @Override
     public void poll(String echo) {
         named("poll", "echo", echo);
--- a/src/main/java/mothwing/server/Config.java
+++ b/src/main/java/mothwing/server/Config.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Objects;
 import mothwing.OverloadControl.Settings;
-import mothwing.broker.Broker;
 import mothwing.settings.Addresses;
 import mothwing.settings.BadInput;
 import mothwing.settings.Fields;
@@ -26,6 +25,7 @@
  * @param listen where gateways connect
  * @param pool where the worker pool listens
  * @param announce where the announce service listens
+ * @param ledger where the tier below is called, or null for nowhere
  * @param management where operators call, or null for nowhere
  * @param stopMs milliseconds from the notice to leave to the stop
  * @param sockets most descriptors
@@ -33,7 +33,7 @@
  * @param told all that it was read from
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress pool, InetSocketAddress announce,
-        InetSocketAddress management, long stopMs, int sockets, Settings settings, Fields told) {
+        InetSocketAddress ledger, InetSocketAddress management, long stopMs, int sockets, Settings settings, Fields told) {
     private static final int HEXADECIMAL = 16;
 
     /**
@@ -41,7 +41,7 @@
      *
      * @param json its text
      * @return the configuration
-     * @throws IOException where it cannot be understood, or asks for what is not done here; the message names the field
+     * @throws IOException where it cannot be understood; the message names the field
      */
     public static Config read(Reader json) throws IOException {
         Fields all = object(json);
@@ -49,12 +49,8 @@
         if (settings.classes().isEmpty()) {
             throw new BadInput("field settings.Classes: required");
         }
-        String unsupported = Broker.unsupported(settings);
-        if (unsupported != null) {
-            throw new BadInput("field settings.Classes: " + unsupported);
-        }
         return new Config(all.text("name"), address(all, "listen"), address(all, "pool"), address(all, "announce"),
-                management(all.text("management", "")), all.positive("stop_ms"),
+                ledger(all.text("ledger", "")), management(all.text("management", "")), all.positive("stop_ms"),
                 (int) all.requiredInner("limits").positive("sockets"), settings, all);
     }
 
@@ -95,7 +91,7 @@
      * @return the one in force
      */
     Config moved(Config now) {
-        return new Config(name, listen, now.pool, now.announce, management, now.stopMs, sockets, now.settings, now.told);
+        return new Config(name, listen, now.pool, now.announce, now.ledger, management, now.stopMs, sockets, now.settings, now.told);
     }
 
     /** The fields in which a new configuration asks for what only a new start can give. */
@@ -159,6 +155,10 @@
         return address.isEmpty() ? null : Addresses.read(address, "management");
     }
 
+    private static InetSocketAddress ledger(String told) throws BadInput {
+        return told.isEmpty() ? null : Addresses.read(told, "ledger");
+    }
+
     private static InetSocketAddress address(Fields all, String name) throws BadInput {
         return Addresses.read(all.text(name), name);
     }
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -27,6 +27,7 @@
 import mothwing.broker.Counters;
 import mothwing.broker.Log;
 import mothwing.fastcgi.FastCgiConnection;
+import mothwing.ledger.Ledger;
 import mothwing.management.DoorConnection;
 import mothwing.management.Operations;
 import mothwing.net.Connection;
@@ -68,6 +69,7 @@
     private Config config;
     private Listener door;
     private Peer peer;
+    private Ledger ledger;
     private long reloads;
     private long reloadErrors;
     private long idleSpan;
@@ -89,6 +91,9 @@
         broker = new Broker(config.settings(), Brain::new, pool, timers, counters, log);
         announcer = new Announcer(dialer(config.announce()), config.name(),
                 () -> !broker.draining() && !broker.away(), timers, counters, log);
+        if (config.ledger() != null) {
+            callBelow();
+        }
         idleSpan = config.settings().signals().idle();
         broker.trimWith(span -> idleSpan = span);
     }
@@ -107,6 +112,11 @@
         peer = new Peer(fleet, config.name(), loop, timers, new SecureRandom(), counters, log);
     }
 
+    private void callBelow() {
+        ledger = new Ledger(dialer(config.ledger()), counters, log);
+        ledger.serve(broker);
+    }
+
     private Dialer dialer(InetSocketAddress to) {
         return new Dialer(loop, allocator, to);
     }
@@ -238,6 +248,11 @@
             if (!config.pool().equals(before.pool())) {
                 pool.moved(dialer(config.pool()));
             }
+            if (ledger == null && config.ledger() != null) {
+                callBelow();
+            } else if (config.ledger() != null && !config.ledger().equals(before.ledger())) {
+                ledger.moved(dialer(config.ledger()));
+            }
             if (!config.announce().equals(before.announce())) {
                 announcer.moved(dialer(config.announce()));
             }
