--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -359,7 +359,7 @@
         faults[place] = good ? Math.max(0, faults[place] - PAID) : Math.min(FAULTS, faults[place]) + 1;
     }
 
-    /** A burst outruns the ladder: refuses what better work already admitted leaves no time for. */
+    /** A burst outruns the ladder: refuses what better work leaves no time for. What runs shares its core with a newcomer. */
     private boolean reachable(Job job) {
         double ahead = 0;
         double calls = -callRoom;
@@ -368,7 +368,7 @@
         for (Job other : open.values()) {
             boolean first = other.worth == job.worth ? other.arrived <= job.arrived : other.worth > job.worth;
             if (other != job && !other.answered && (first || other.state != State.HELD)) {
-                ahead += left(other);
+                ahead += other.state == State.RUNNING ? Math.min(left(other), expected(job)) : left(other);
                 if (ahead > most) {
                     return false; // in a crowd that is most of them: no need to add up the rest
                 }
--- a/src/main/java/mothwing/lab/PoolCores.java
+++ b/src/main/java/mothwing/lab/PoolCores.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Function;
 import mothwing.broker.Timers;
 
 /**
@@ -19,10 +20,24 @@
     interface Ends {
         /** A run is over, or was stopped, after so many microseconds on the cores. */
         void ended(String id, String code, long took, byte[] body);
+
+        /** A run has left its core for a call, and waits for what it asks. */
+        default void blocked(String id, byte[] content) {
+            throw new IllegalStateException(id + " calls, and nobody is there to make the call");
+        }
+    }
+
+    /** What a run of a class takes: milliseconds on a core in the mean, their spread, and how many calls stand between. */
+    record Kind(double meanMs, double spread, int calls) {
     }
 
-    /** What the pool does, and how fast. */
-    record Work(int cores, double meanMs, double spread) {
+    /** What the pool does, and how fast; a stop keeps the work, or throws it away. */
+    record Work(int cores, Function<String, Kind> of, boolean keeps) {
+        /** The same for all classes, and no calls. */
+        Work(int cores, double meanMs, double spread) {
+            this(cores, kind -> new Kind(meanMs, spread, 0), true);
+        }
+
         /** A run that ends by {@link #endAll} only. */
         static Work unending() {
             return new Work(2, -1, 0);
@@ -38,14 +53,18 @@
         final byte[] body;
         final Ends ends;
         final History.Run run;
+        final double part;
+        int calls;
         double left;
         double took;
 
-        Job(byte[] body, Ends ends, History.Run run, double left) {
+        Job(byte[] body, Ends ends, History.Run run, double whole, int calls) {
             this.body = body;
             this.ends = ends;
             this.run = run;
-            this.left = left;
+            this.calls = calls;
+            part = whole / (calls + 1);
+            left = part;
         }
     }
 
@@ -55,6 +74,7 @@
     private final History.Journal journal;
     private final Map<String, Job> running = new LinkedHashMap<>();
     private final Map<String, Job> paused = new LinkedHashMap<>();
+    private final Map<String, Job> atCall = new LinkedHashMap<>();
     private double speed = 1;
     private long last;
     private long planned = Long.MAX_VALUE;
@@ -70,22 +90,30 @@
 
     /** Begins a run for one life of the server, unless there is one of that name. */
     void spawn(String id, String kind, byte[] body, int life, Ends ends) {
-        if (off || running.containsKey(id) || paused.containsKey(id)) {
+        if (off || running.containsKey(id) || paused.containsKey(id) || atCall.containsKey(id)) {
             return;
         }
         advance();
-        double ms = work.meanMs() * (1 + work.spread() * (2 * random.nextDouble() - 1));
+        Kind one = work.of().apply(kind);
+        double ms = one.meanMs() * (1 + one.spread() * (2 * random.nextDouble() - 1));
         running.put(id, new Job(body, ends, journal.began(life, id, kind, body, timers.now()),
-                work.meanMs() < 0 ? UNENDING : Math.max(1, ms * 1000)));
+                one.meanMs() < 0 ? UNENDING : Math.max(1, ms * 1000), one.calls()));
         plan();
     }
 
-    /** Stops a run and keeps it; nothing where there is none. */
+    /** Stops a run, and keeps it where stops do; nothing where there is none. One that stands at a call is kept there. */
     void suspend(String id) {
         advance();
         Job job = running.remove(id);
+        if (job == null && !work.keeps()) {
+            job = atCall.remove(id);
+        }
         if (job != null) {
-            paused.put(id, job);
+            if (work.keeps()) {
+                paused.put(id, job);
+            } else {
+                journal.ended(job.run, "aborted", timers.now());
+            }
             job.ends.ended(id, "aborted", (long) job.took, job.body);
             plan();
         }
@@ -101,6 +129,35 @@
         }
     }
 
+    /** A run that stands at a call goes on with its result; whether there is such a run. */
+    boolean supply(String id) {
+        advance();
+        Job job = atCall.remove(id);
+        if (job != null) {
+            job.left = job.part;
+            running.put(id, job);
+            plan();
+        }
+        return job != null;
+    }
+
+    /** Nobody waits for this request any longer: a run of it that stands at a call is over, and one that was stopped is gone. */
+    void over(String id) {
+        Job job = atCall.remove(id);
+        Job stopped = paused.remove(id);
+        if (stopped != null) {
+            journal.ended(stopped.run, "aborted", timers.now());
+        } else if (job != null) {
+            journal.ended(job.run, "aborted", timers.now());
+            job.ends.ended(id, "aborted", (long) job.took, job.body);
+        }
+    }
+
+    /** How many runs are on the cores. */
+    int onCores() {
+        return running.size();
+    }
+
     /** The share of its speed at which it works from now on. */
     void speed(double now) {
         advance();
@@ -123,9 +180,11 @@
         off = true;
         List<Job> all = new ArrayList<>(running.values());
         all.addAll(paused.values());
+        all.addAll(atCall.values());
         all.forEach(job -> journal.ended(job.run, "lost", timers.now()));
         running.clear();
         paused.clear();
+        atCall.clear();
     }
 
     /** Ends all that runs. */
@@ -181,7 +240,12 @@
             return;
         }
         for (Map.Entry<String, Job> one : new ArrayList<>(running.entrySet())) {
-            if (one.getValue().left <= MICRO_SHARE) {
+            Job job = one.getValue();
+            if (job.left <= MICRO_SHARE && job.calls > 0) {
+                job.calls--;
+                atCall.put(one.getKey(), running.remove(one.getKey()));
+                job.ends.blocked(one.getKey(), job.body);
+            } else if (job.left <= MICRO_SHARE) {
                 end(one.getKey());
             }
         }
