--- a/src/main/java/mothwing/lab/Served.java
+++ b/src/main/java/mothwing/lab/Served.java
@@ -42,6 +42,15 @@
         this(folder, place(port, door, pool), new Trial.Fleet(1, 4, 0, 0, 4500, 192, 256, 3200), "mothwing.Main", line -> { });
     }
 
+    /** Starts one whose runs may call a tier below. */
+    public static Served calling(Path folder, int port, int door, StandInPool pool, InetSocketAddress ledger) throws IOException {
+        Files.createDirectories(folder);
+        String text = config(port, door, pool).replaceFirst("\\{", "{\"ledger\":\"" + Addresses.text(ledger) + "\",")
+                .replace("\"Extra\":{", "\"Extra\":{\"DependsOn\":\"tier\",\"CallsByClass\":[true,true],");
+        return new Served(Files.writeString(folder.resolve("config-" + door + ".json"), text), local(door), "mothwing.Main", null,
+                line -> { });
+    }
+
     /** Starts one in a folder that is its machine's disk. */
     Served(Path folder, Place place, Trial.Fleet fleet, String program, Consumer<String> log) throws IOException {
         this(folder, place, fleet, program, null, log);
@@ -49,9 +58,16 @@
 
     /** The same, with a script of our own settings, or null. */
     Served(Path folder, Place place, Trial.Fleet fleet, String program, Path site, Consumer<String> log) throws IOException {
-        this.door = place.door();
+        this(written(folder, place, fleet), place.door(), program, site, log);
+    }
+
+    private static Path written(Path folder, Place place, Trial.Fleet fleet) throws IOException {
         Files.createDirectories(folder);
-        Path file = Files.writeString(folder.resolve("config-" + door.getPort() + ".json"), config(place, fleet));
+        return Files.writeString(folder.resolve("config-" + place.door().getPort() + ".json"), config(place, fleet));
+    }
+
+    private Served(Path file, InetSocketAddress door, String program, Path site, Consumer<String> log) throws IOException {
+        this.door = door;
         List<String> words = new ArrayList<>(List.of("serve", "--config", file.toString()));
         if (site != null) {
             words.addAll(List.of("--site", site.toString()));
--- a/src/main/java/mothwing/lab/StandInPool.java
+++ b/src/main/java/mothwing/lab/StandInPool.java
@@ -12,9 +12,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.Deque;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.Executors;
@@ -39,14 +41,24 @@
     private int told;
     private Socket link;
     private boolean up = true;
+    private final Map<String, String> blocked = new LinkedHashMap<>();
+    private final List<String> mistaken = new ArrayList<>();
     private int suspends;
 
     /** Starts one with cores of its own; work under 0 ms ends only by {@link #release}. */
     public StandInPool(long workMs) throws IOException {
+        this(workMs < 0 ? PoolCores.Work.unending() : PoolCores.Work.fixed(workMs));
+    }
+
+    /** Starts one whose runs take so many milliseconds on a core, with so many calls in between. */
+    public static StandInPool calling(long workMs, int calls) throws IOException {
+        return new StandInPool(new PoolCores.Work(Integer.MAX_VALUE, kind -> new PoolCores.Kind(workMs, 0, calls), true));
+    }
+
+    private StandInPool(PoolCores.Work work) throws IOException {
         lock = new Object();
         life = 1;
-        cores = new PoolCores(workMs < 0 ? PoolCores.Work.unending() : PoolCores.Work.fixed(workMs),
-                new Epoch().on(clock, lock), new Random(1), History.unread());
+        cores = new PoolCores(work, new Epoch().on(clock, lock), new Random(1), History.unread());
         listener = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
         serve(listener);
     }
@@ -130,13 +142,20 @@
             case "spawn" -> {
                 spawns.merge(id, 1, Integer::sum);
                 cores.spawn(id, command.get("lane").getAsString(),
-                        Base64.getDecoder().decode(command.get("content").getAsString()), life, this::ended);
+                        Base64.getDecoder().decode(command.get("content").getAsString()), life, ends);
             }
             case "suspend" -> {
                 suspends++;
                 cores.suspend(id);
             }
             case "proceed" -> cores.proceed(id);
+            case "supply" -> {
+                byte[] result = Base64.getDecoder().decode(command.get("content").getAsString());
+                String wanted = blocked.remove(id);
+                if (cores.supply(id) && !new String(made(result), StandardCharsets.UTF_8).equals(wanted)) {
+                    mistaken.add(id);
+                }
+            }
             case "poll" -> {
                 double[] all = cores.gauges();
                 say("{\"action\":\"polled\",\"echo\":\"" + command.get("echo").getAsString() + "\",\"meters\":["
@@ -165,10 +184,25 @@
         }
     }
 
-    private void ended(String id, String code, long took, byte[] body) {
-        String result = code.equals("done") ? Base64.getEncoder().encodeToString(made(body)) : "";
-        String notice = "{\"action\":\"finished\",\"pos\":" + ++told + ",\"uid\":\"" + id + "\",\"code\":\"" + code
-                + "\",\"wall_ms\":" + (took + 999) / 1000 + ",\"content\":\"" + result + "\"}";
+    /** What it tells of runs. */
+    private final PoolCores.Ends ends = new PoolCores.Ends() {
+        @Override
+        public void ended(String id, String code, long took, byte[] body) {
+            String result = code.equals("done") ? Base64.getEncoder().encodeToString(made(body)) : "";
+            tell("{\"action\":\"finished\",\"pos\":" + ++told + ",\"uid\":\"" + id + "\",\"code\":\"" + code
+                    + "\",\"wall_ms\":" + (took + 999) / 1000 + ",\"content\":\"" + result + "\"}");
+        }
+
+        @Override
+        public void blocked(String id, byte[] content) {
+            String asked = id + " asks for " + told;
+            blocked.put(id, asked);
+            tell("{\"action\":\"blocked\",\"pos\":" + ++told + ",\"uid\":\"" + id + "\",\"content\":\""
+                    + Base64.getEncoder().encodeToString(asked.getBytes(StandardCharsets.UTF_8)) + "\"}");
+        }
+    };
+
+    private void tell(String notice) {
         notices.add(notice);
         if (notices.size() > MOST_NOTICES) {
             notices.remove();
@@ -253,6 +287,13 @@
         }
     }
 
+    /** Runs that went on with what is not the answer to what they asked. */
+    public List<String> mistaken() {
+        synchronized (lock) {
+            return new ArrayList<>(mistaken);
+        }
+    }
+
     /** How often each request was handed to it. */
     public Map<String, Integer> spawns() {
         synchronized (lock) {
