Let slow calls be forgotten while none is made: classes that call were refused for good

Read, then shown by a test that fails without the change: Brain.reachable refuses a class that calls once callPace leaves no time, and callPace is learned in callEnded alone; calls that were slow once are refused for good, on each server by itself.

Change: while no call is out the learned time of one fades, as learned core times do. Nothing changes where nothing calls.

--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -359,7 +359,7 @@
         faults[place] = good ? Math.max(0, faults[place] - PAID) : Math.min(FAULTS, faults[place]) + 1;
     }
 
-    /** A burst outruns the ladder: refuses what better work leaves no time for. What runs shares its core with a newcomer. */
+    /** A burst outruns the ladder: refuses what better work leaves no time for. What runs shares its core. */
     private boolean reachable(Job job) {
         double ahead = 0;
         double calls = -callRoom;
@@ -631,8 +631,9 @@
         callsPer[place] += (job.stood - callsPer[place]) * Math.max(LEARN, 1.0 / runs[place]);
     }
 
-    /** A class that a slow stretch made look too long to run would be refused, and so not seen again. */
+    /** What a slow stretch, or slow calls, made look too long would be refused, and so not seen again. */
     private void fadePaces(double span) {
+        callPace *= calling > 0 ? 1 : Math.max(0, 1 - span / STRAIN_SECONDS);
         for (int i = 0; i < pace.length; i++) {
             double aim = settings.classes().get(i).aim();
             if (runs[i] > 0 && now - learnedAt[i] > STALE * aim) {
@@ -890,7 +891,7 @@
         doneWork = 0;
         int index = 0;
         for (int i = 0; i < OVER.length; i++) {
-            double mean = mean(i);
+            double mean = Arrays.stream(history[i]).sum() / HISTORY;
             index += mean > OVER[i] ? 1 : mean < UNDER[i] ? -1 : 0;
         }
         if (index < OVERLOADED) {
@@ -909,10 +910,6 @@
         history[gauge][samples % HISTORY] = share;
     }
 
-    private double mean(int gauge) {
-        return Arrays.stream(history[gauge]).sum() / HISTORY;
-    }
-
     /** The wait that the work in hand means for one who comes last, as shares of its class deadlines. */
     private double holdWait() {
         double work = 0;
--- a/src/test/java/mothwing/BrainTest.java
+++ b/src/test/java/mothwing/BrainTest.java
@@ -403,6 +403,27 @@
         }
     }
 
+    /** Guards against calls that were slow once and then refused for good: what makes none hears of none. */
+    @Test
+    void afterSlowCallsThoseThatCallAreTriedAgain() {
+        RecordingHost host = new RecordingHost(settings(Halting.ABORT, 20_000, false, 0), START);
+        for (int i = 0; i < 12; i++) {
+            String id = "slow" + i;
+            host.read(request(host, id, READ, null, 60 * SECOND));
+            if (host.did("start " + id)) {
+                host.atCall(id);
+                host.passUntil(host.now() + 3 * SECOND);
+                host.callEnded(id, Outcome.GOOD);
+                host.finish(id, Outcome.GOOD);
+            }
+        }
+        host.read(request(host, "late", READ));
+        assertTrue(host.did("refuse late"), "a call takes as long as its caller waits");
+        host.passUntil(host.now() + 10 * SECOND);
+        host.read(request(host, "again", READ));
+        assertTrue(host.did("start again"));
+    }
+
     @Test
     void aFailingDependencyHoldsBackOnlyTheClassesThatCallIt() {
         RecordingHost host = host();
