Leave a link to the ledger that is silent behind a call that is never answered

Change: a link on which nothing was answered behind a call for four times what answers take (0.1 s at least) takes no further calls; eight such links at most. What is abandoned is so on former links too. A run that tells of its call is not in doubt. Tests: LedgerTest.aLinkThatIsSilentBehindACallIsLeft; CallsTest saw the second hand-over of an order that stood at its call.

--- a/src/main/java/mothwing/broker/Exchange.java
+++ b/src/main/java/mothwing/broker/Exchange.java
@@ -180,6 +180,7 @@
     void atCall(byte[] what) {
         handedOver = true; // the pool runs it
         noCall();
+        doubted = false; // and has not lost its start
         asked = what;
     }
 
--- a/src/main/java/mothwing/ledger/Ledger.java
+++ b/src/main/java/mothwing/ledger/Ledger.java
@@ -10,18 +10,28 @@
 import mothwing.broker.Calls;
 import mothwing.broker.Counters;
 import mothwing.broker.Log;
+import mothwing.broker.Timers;
 import mothwing.net.Connection;
 import mothwing.net.Dial;
 import mothwing.net.Reason;
 
 /**
  * The tier below, over one link that carries all calls. It is opened for the first call, and again for the next one after it
- * ended. A request that calls again while an answer to an earlier call of its own may still be on the link gets a new link: the
- * old one takes no further calls and is closed once the last of its own is over.
+ * ended. A request that calls again while an answer to an earlier call of its own may still be on the link gets a new link, and
+ * so do all once the link has been silent for too long behind a call: a call that is never answered would hold up those behind
+ * it for good. The old link takes no further calls and is closed once the last of its own is over.
  */
 public final class Ledger implements Calls {
+    /** Most links that are left with calls out; over it the newest one takes calls, silent or not. */
+    static final int MOST_LEFT = 8;
+
+    private static final double LEARN = 0.1; // weight of one answer in the time that an answer takes
+    private static final double SILENT = 4; // times that, behind a call, after which a link is left
+    private static final long SILENT_LEAST = 100_000; // microseconds, for the same
+
     private record Asked(long limitMs, byte[] content) { }
 
+    private final Timers timers;
     private final Counters counters;
     private final Log log;
     private final Map<String, Asked> waiting = new LinkedHashMap<>();
@@ -30,16 +40,20 @@
     private LedgerLink link;
     private boolean dialing;
     private int dials;
+    private final List<LedgerLink> left = new ArrayList<>(); // with calls out
+    private double took = SILENT_LEAST;
 
     /**
      * Makes one that is not linked.
      *
      * @param dialer opens links to its address
+     * @param timers the clock
      * @param counters counts what happens
      * @param log takes lines of the log
      */
-    public Ledger(Dial dialer, Counters counters, Log log) {
+    public Ledger(Dial dialer, Timers timers, Counters counters, Log log) {
         this.dialer = dialer;
+        this.timers = timers;
         this.counters = counters;
         this.log = log;
     }
@@ -69,8 +83,10 @@
 
     @Override
     public boolean make(String id, long limitMs, byte[] content) {
-        if (link != null && link.mayStillAnswer(id)) {
-            counters.add("ledger-new-link");
+        boolean silent = link != null && left.size() < MOST_LEFT
+                && link.silentFor(timers.now()) > Math.max(SILENT_LEAST, SILENT * took);
+        if (silent || link != null && link.mayStillAnswer(id)) {
+            counters.add(silent ? "ledger-silent-link" : "ledger-new-link");
             retire();
         }
         if (link != null) {
@@ -86,18 +102,28 @@
 
     @Override
     public void abandon(String id) {
-        if (waiting.remove(id) == null && link != null) {
+        if (waiting.remove(id) != null) {
+            return;
+        }
+        if (link != null) {
             link.abandon(id);
         }
+        List.copyOf(left).forEach(one -> one.abandon(id));
     }
 
     private void retire() {
         if (link != null) {
-            link.retire();
+            LedgerLink former = link;
             link = null;
+            left.add(former);
+            former.retire();
         }
     }
 
+    long now() {
+        return timers.now();
+    }
+
     private void dial() {
         dialing = true;
         int mine = ++dials;
@@ -127,7 +153,8 @@
         waiting.clear();
     }
 
-    void over(String id, Outcome outcome, byte[] result) {
+    void over(String id, Outcome outcome, byte[] result, long span) {
+        took += (span - took) * LEARN;
         broker.callOver(id, outcome, result);
     }
 
@@ -136,6 +163,7 @@
         if (link == which) {
             link = null;
         }
+        left.remove(which);
         out.forEach(id -> broker.callOver(id, Outcome.CUT, null));
     }
 }
--- a/src/main/java/mothwing/ledger/LedgerLink.java
+++ b/src/main/java/mothwing/ledger/LedgerLink.java
@@ -3,8 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import mothwing.OverloadControl.Outcome;
 import mothwing.broker.Counters;
@@ -26,9 +28,10 @@
 
     private final Ledger ledger;
     private final int dial;
-    private final Set<String> out = new LinkedHashSet<>();
+    private final Map<String, Long> out = new LinkedHashMap<>(); // with when each was posted, the oldest first
     private final Set<String> abandoned = new LinkedHashSet<>();
     private boolean retired;
+    private long waitsSince = NEVER;
 
     LedgerLink(Ledger ledger, int dial, Log log, Counters counters) {
         super("ledger", MOST_RESULT + MOST_LINE, log, counters);
@@ -43,7 +46,7 @@
 
     @Override
     protected void ended() {
-        List<String> all = new ArrayList<>(out);
+        List<String> all = new ArrayList<>(out.keySet());
         out.clear();
         ledger.ended(this, all);
     }
@@ -59,12 +62,13 @@
     }
 
     void post(String id, long limitMs, byte[] content) {
-        out.add(id);
+        out.put(id, ledger.now());
+        waitsSince = Math.min(waitsSince, ledger.now());
         say("post " + id + " " + limitMs + " " + content.length, content);
     }
 
     void abandon(String id) {
-        if (out.remove(id)) {
+        if (out.remove(id) != null) {
             abandoned.add(id);
             say("abandon " + id, null);
             closeIfOver();
@@ -77,6 +81,11 @@
         closeIfOver();
     }
 
+    /** For how long nothing has been answered though something was asked, whether or not anybody waits for it still. */
+    long silentFor(long now) {
+        return waitsSince == NEVER ? 0 : now - waitsSince;
+    }
+
     private void closeIfOver() {
         if (retired && out.isEmpty()) {
             close(Reason.MOVED, "");
@@ -127,8 +136,10 @@
     }
 
     private void answered(String id, Outcome outcome, byte[] result) {
-        if (out.remove(id)) {
-            ledger.over(id, outcome, result);
+        waitsSince = out.size() + abandoned.size() > 1 ? ledger.now() : NEVER;
+        Long since = out.remove(id);
+        if (since != null) {
+            ledger.over(id, outcome, result, ledger.now() - since);
             closeIfOver();
         } else {
             count(abandoned.remove(id) ? "answered-late" : "answered-unasked");
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -113,7 +113,7 @@
     }
 
     private void callBelow() {
-        ledger = new Ledger(dialer(config.ledger()), counters, log);
+        ledger = new Ledger(dialer(config.ledger()), timers, counters, log);
         ledger.serve(broker);
     }
 
