Judge the grace of a drain by when a request was read whole

Seen, in a test with the clock by hand: a request accepted 1.9 s after the notice by its gateway's word, its last byte 2.3 s after it, was handed to the pool (start of Broker went by Exchange.arrivedAt, which is the gateway's Accepted-At-Ms). Now mayRun goes by the time at which it was read whole, which no clock of a gateway moves. At the last moment, 150 ms before the stop, what is still owed is failed at once, and 60 ms are left for the other sides' closes; the process used to end on it without a word. Ruled out: that the module refuses it in any case, as with decisions that start it the core is the last guard. An echo of the pool that is no number of ours no longer throws. Both tests seen failing on ('expected [refused false 1000] but was []').

--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -187,7 +187,7 @@
         long now = timers.now();
         long unread = Math.max(0, (timers.wallMs() - arrival.acceptedAtMs()) * MILLI);
         RequestClass kind = inForce.known(arrival.kind());
-        Exchange exchange = new Exchange(arrival, caller, kind != null && kind.repeats() == Repeats.SAFE, now - unread,
+        Exchange exchange = new Exchange(arrival, caller, kind != null && kind.repeats() == Repeats.SAFE, now, now - unread,
                 now - unread + (kind == null ? 0 : kind.deadline()), inForce.classPlace(arrival.kind()),
                 inForce.tenantPlace(arrival.tenant()));
         if (kind == null) {
@@ -366,6 +366,16 @@
         }
     }
 
+    /** The process ends now: whatever is still owed an answer, late as the controller may be, is failed. */
+    public void failOwed() {
+        for (Exchange one : new ArrayList<>(open.values())) {
+            if (one.owed()) {
+                fail(one, "leaving");
+                forgetUnlessRunning(one);
+            }
+        }
+    }
+
     private void tellLeave() {
         event((to, at) -> to.drain(at, departure.stopAt()));
     }
@@ -576,7 +586,7 @@
         }
         if (echo.equals(RESOLVE)) {
             resolve();
-        } else if (echo.startsWith("t")) {
+        } else if (ticks.containsKey(echo) || echo.matches("t[0-9]{1,18}") && Long.parseLong(echo, 1, echo.length(), 10) <= polls) {
             answeredPolls = Math.max(answeredPolls, Long.parseLong(echo, 1, echo.length(), 10));
         }
         tick(echo, gauges);
@@ -737,7 +747,7 @@
         } else if (one.ran() && !one.repeatable()) {
             fail(one, "ran-before"); // a stop threw its work away: it may have had its effect
             forgetUnlessRunning(one);
-        } else if (!departure.mayRun(one.arrivedAt())) {
+        } else if (!departure.mayRun(one.readAt())) {
             refuse(one, "drained", false, departure.advice(told().signals().longestAdvice()) / MILLI);
             open.remove(id);
         } else {
--- a/src/main/java/mothwing/broker/Departure.java
+++ b/src/main/java/mothwing/broker/Departure.java
@@ -61,9 +61,9 @@
         return handsOver() ? noticeAt + Math.min(grace, (stopAt - noticeAt) / 2) : noticeAt;
     }
 
-    /** Whether what arrived then may still be run. */
-    boolean mayRun(long arrivedAt) {
-        return !going() || arrivedAt <= noticeAt + grace;
+    /** Whether what was read whole then may still be run: what a gateway says of its arrival proves nothing. */
+    boolean mayRun(long readAt) {
+        return !going() || readAt <= noticeAt + grace;
     }
 
     /** The best that a check may say, where the controller says so much. */
--- a/src/main/java/mothwing/broker/Exchange.java
+++ b/src/main/java/mothwing/broker/Exchange.java
@@ -26,6 +26,7 @@
     private final Arrival arrival;
     private final Caller caller;
     private final boolean repeatable;
+    private final long readAt;
     private final long arrivedAt;
     private final long dueAt;
     private final int classPlace;
@@ -45,11 +46,12 @@
     private boolean unsent;
     private long callUntil;
 
-    Exchange(Arrival arrival, Caller caller, boolean repeatable, long arrivedAt, long dueAt, int classPlace,
-            int tenantPlace) {
+    Exchange(Arrival arrival, Caller caller, boolean repeatable, long readAt, long arrivedAt, long dueAt,
+            int classPlace, int tenantPlace) {
         this.arrival = arrival;
         this.caller = caller;
         this.repeatable = repeatable;
+        this.readAt = readAt;
         this.arrivedAt = arrivedAt;
         this.dueAt = dueAt;
         this.classPlace = classPlace;
@@ -100,6 +102,11 @@
         return repeatable;
     }
 
+    /** When its last byte was read: it was written at that time at the latest, whatever its gateway says. */
+    long readAt() {
+        return readAt;
+    }
+
     long arrivedAt() {
         return arrivedAt;
     }
--- a/src/main/java/mothwing/server/Leave.java
+++ b/src/main/java/mothwing/server/Leave.java
@@ -27,6 +27,7 @@
     private static final long LAST_MOMENT = 150 * MILLI; // before the stop, at which the process ends by itself
     private static final long STOOD_STILL = 5 * PERIOD; // late by so much: it could not read meanwhile
     private static final long TO_READ = 200 * MILLI; // for what waits in the sockets then, read and answered in some turns
+    private static final long TO_CLOSE = 60 * MILLI; // for the other sides' closes in the last moment
     private static final long UPGRADE_LONGEST = 3000 * MILLI; // an upgrade is cut off after the longest deadline,
     private static final long UPGRADE_MORE = 700 * MILLI; // counted as 3 s where it is longer, and this
     private static final int PROBE_MS = 100; // a full queue lets an attempt wait; nobody there refuses at once
@@ -40,6 +41,7 @@
     private long stopAt;
     private long stepAt;
     private long readUntil = Long.MIN_VALUE;
+    private long lastUntil = Long.MAX_VALUE;
     private int open;
 
     /**
@@ -117,8 +119,12 @@
         }
         stepAt = now + PERIOD;
         boolean last = now >= Math.max(stopAt - LAST_MOMENT, readUntil);
+        if (last && lastUntil == Long.MAX_VALUE) {
+            lastUntil = now + TO_CLOSE;
+            broker.failOwed();
+        }
         listeners.forEach(one -> one.trim(last ? 0 : PERIOD, Reason.DRAIN));
-        if (last || broker.owed() == 0 && listeners.stream().allMatch(one -> one.open() == 0)) {
+        if (now >= lastUntil || broker.owed() == 0 && listeners.stream().allMatch(one -> one.open() == 0)) {
             log.line("leave owed=" + broker.owed());
             loop.execute(done); // behind what was answered in this turn
         } else {
--- a/src/test/java/mothwing/broker/BrokerTest.java
+++ b/src/test/java/mothwing/broker/BrokerTest.java
@@ -12,6 +12,7 @@
 import mothwing.OverloadControl.Request;
 import mothwing.OverloadControl.RequestClass;
 import mothwing.OverloadControl.Settings;
+import mothwing.lab.Gateway;
 import mothwing.lab.Stand;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -94,7 +95,11 @@
     }
 
     private Exchange ask(int number, String kind) {
-        return stand.ask(Stand.id(number), kind, new byte[0], new Caller() {
+        return stand.ask(Stand.id(number), kind, new byte[0], caller());
+    }
+
+    private Caller caller() {
+        return new Caller() {
             @Override
             public void served(byte[] result) {
                 answers.add("served");
@@ -109,7 +114,7 @@
             public void failed(String code) {
                 answers.add("failed " + code);
             }
-        });
+        };
     }
 
     @Test
@@ -240,6 +245,33 @@
         assertTrue(stand.spawns.isEmpty());
     }
 
+    /** Guards against a gateway's word for when a request came: its last byte may be written long after that. */
+    @Test
+    void whatIsReadWholeAfterTheGraceIsNotRunWhateverItsGatewaySaysOfItsArrival() throws Exception {
+        stand.broker.drain(stand.now(), stand.now() + 9 * SECOND, false);
+        long accepted = stand.wallMs() + 1_900;
+        stand.pass(2 * SECOND + 300_000);
+        Arrival.Fields fields = new Arrival.Fields();
+        Gateway.fields(Stand.id(1), accepted).forEach(fields::set);
+        stand.broker.read(fields.at("/call/" + Stand.ORDER, new byte[0]), caller());
+        stand.broker.start(Stand.id(1));
+        assertEquals(List.of("refused false 1000"), answers);
+        assertTrue(stand.spawns.isEmpty());
+    }
+
+    /** Guards against an end of the process that leaves a caller without a word, late as the decisions may be. */
+    @Test
+    void whatTheDecisionsStillOweAtTheEndIsFailed() {
+        ask(1, Stand.LOOK);
+        ask(2, Stand.ORDER);
+        stand.broker.start(Stand.id(2));
+        stand.broker.drain(stand.now(), stand.now() + SECOND, false);
+        stand.broker.failOwed();
+        stand.broker.failOwed();
+        assertEquals(List.of("failed leaving", "failed leaving"), answers);
+        assertEquals(0, stand.broker.owed());
+    }
+
     private static Settings with(RequestClass... classes) {
         Settings one = Stand.settings(4.5, 2);
         return new Settings(7, 2_000, List.of(classes), one.tenants(), 10, 3, false, 0.05, 0, one.goal(), one.rules(),
