Let a bad, missing or absent notice of the pool cost itself alone

Now a line is passed over (1 MiB without an end at most), a run that a bad line names is over as failed, a gap opens the link again once, a senseless number is passed over, and after 2 s of silence behind a question another link is opened beside the silent one, which is left only once the pool has taken the new one. Before the pool first came up nothing is expected of it. The wait between links falls only once a link has caught up. aLineWithoutAnEndClosesTheLink held the old behaviour at 64 KiB; it holds the close at 1 MiB now, and the test beside it that a longer line with an end does no harm.

--- a/src/main/java/mothwing/net/Reason.java
+++ b/src/main/java/mothwing/net/Reason.java
@@ -24,6 +24,8 @@
     MOVED,
     /** An answer did not come in time. */
     NO_ANSWER,
+    /** Something that was sent on it before is missing, and comes again on a new one. */
+    MISSED,
     /** The rest of a request did not come in time. */
     HALF_SENT,
     /** Nothing whole was asked on it in time after it was opened. */
--- a/src/main/java/mothwing/pool/Pool.java
+++ b/src/main/java/mothwing/pool/Pool.java
@@ -23,6 +23,10 @@
     private static final long MILLI = 1000;
     private static final long FIRST_WAIT = 20 * MILLI;
     private static final long LONGEST_WAIT = 500 * MILLI;
+    private static final long LOOK = 250 * MILLI; // between looks at a silent link; a look later by as much stood still
+    /** For so long a link may be silent behind a question, or unbound once the pool was up, before another is opened beside it. */
+    static final long SILENT = 2000 * MILLI;
+    private static final long MOST_GAP = 1 << 20; // numbers that a notice may be ahead: the pool keeps 4,000
 
     private final Timers timers;
     private final Counters counters;
@@ -36,6 +40,10 @@
     private int dials;
     private boolean dialing;
     private boolean stopped;
+    private boolean everBound;
+    private long patience = SILENT;
+    private long lookedAt;
+    private long gapAfter = -1;
 
     /**
      * Makes a pool that is not linked yet.
@@ -60,6 +68,27 @@
     public void link(Broker to) {
         broker = to;
         dial();
+        look();
+    }
+
+    /**
+     * A link that is open and silent may be half dead. Another is opened beside it, and it is left only once the pool has
+     * taken that: a pool that is merely slow loses nothing. Before the pool first came up nothing is expected of it.
+     */
+    private void look() {
+        if (stopped) {
+            return;
+        }
+        long now = timers.now();
+        boolean stoodStill = now - lookedAt > 2 * LOOK;
+        lookedAt = now;
+        timers.at(now + LOOK, this::look);
+        if (everBound && !stoodStill && !dialing && link != null && link.silentFor(now) > patience) {
+            counters.add("pool-silent-link");
+            log.line("pool-silent ms=" + link.silentFor(now) / MILLI);
+            patience = Math.min(8 * SILENT, 2 * patience);
+            dial();
+        }
     }
 
     /**
@@ -131,25 +160,47 @@
         return last;
     }
 
-    /** Whether a numbered notice is the next one: one that was read before is passed over. */
-    boolean isNext(long place) {
+    /**
+     * Whether a numbered notice is the next one: one that was read before is passed over, and so is a number that no pool
+     * reaches. Behind a gap the link is opened again, once, for what is missing; the pool gives all notices after the last.
+     */
+    boolean isNext(PoolLink on, long place) {
         if (place <= last) {
             counters.add("pool-notices-repeated");
             return false;
         }
+        if (place - last > MOST_GAP) {
+            counters.add("pool-notices-misnumbered");
+            return false;
+        }
         if (place > last + 1) {
-            counters.add("pool-notices-missed", place - last - 1);
             log.line("pool-gap after=" + last + " next=" + place);
+            if (gapAfter != last) {
+                gapAfter = last;
+                on.close(Reason.MISSED, "");
+                return false;
+            }
+            counters.add("pool-notices-missed", place - last - 1);
         }
         last = place;
         return true;
     }
 
     void bound() {
-        wait = 0;
+        everBound = true;
         leaveFormer();
     }
 
+    /** All that the pool had to say on a new link has been read. */
+    void caughtUp() {
+        wait = 0;
+        patience = SILENT;
+    }
+
+    long now() {
+        return timers.now();
+    }
+
     void ended(PoolLink which) {
         if (link == which) {
             link = null;
--- a/src/main/java/mothwing/pool/PoolLink.java
+++ b/src/main/java/mothwing/pool/PoolLink.java
@@ -23,6 +23,8 @@
 final class PoolLink extends Connection implements Workers {
     /** Most bytes of one line: a result of 4 KiB in base64, with much to spare. */
     static final int MOST_LINE = 64 << 10;
+    /** Most bytes of a line without an end that are passed over; after that the link is given up. */
+    static final int MOST_PASSED_OVER = 1 << 20;
 
     private static final long MILLI = 1000;
     private static final String CAUGHT_UP = "bind";
@@ -33,6 +35,8 @@
     private final Broker broker;
     private final Log log;
     private boolean bound;
+    private int passedOver;
+    private long waitsSince = NEVER;
 
     PoolLink(Pool pool, int dial, Broker broker, Log log, Counters counters) {
         super("pool", MOST_LINE, log, counters);
@@ -45,7 +49,7 @@
     @Override
     protected void opened() {
         if (pool.opened(this, dial)) {
-            command("{\"action\":\"bind\",\"pos\":" + pool.lastNotice() + "}");
+            ask("{\"action\":\"bind\",\"pos\":" + pool.lastNotice() + "}");
         } else {
             close(Reason.MOVED, "");
         }
@@ -57,27 +61,54 @@
         pool.ended(this);
     }
 
+    /** A line that cannot be understood costs itself alone: the same would be said again on a new link, for ever. */
     @Override
     protected boolean take(ByteBuf in) throws Malformed {
+        waitsSince = NEVER;
         int length = in.bytesBefore((byte) '\n');
-        if (length < 0) {
+        if (length < 0 && in.readableBytes() <= MOST_LINE && passedOver == 0) {
             return false;
+        } else if (length < 0 || length > MOST_LINE || passedOver > 0) {
+            passOver(in, length);
+            return true;
         }
         String line = in.toString(in.readerIndex(), length, StandardCharsets.UTF_8);
         in.skipBytes(length + 1);
         try (JsonReader reader = new JsonReader(new StringReader(line))) {
             notice(Fields.read(reader));
-        } catch (IOException | IllegalStateException | JsonParseException bad) {
-            throw new Malformed(Reason.MALFORMED, "notice: " + bad.getMessage());
+        } catch (IOException | IllegalStateException | JsonParseException | Malformed bad) {
+            bad(bad.getMessage());
         }
         return true;
     }
 
+    private void passOver(ByteBuf in, int length) throws Malformed {
+        int part = length < 0 ? in.readableBytes() : length + 1;
+        in.skipBytes(part);
+        passedOver += part;
+        if (passedOver > MOST_PASSED_OVER) {
+            throw new Malformed(Reason.OVERSIZED, "over " + MOST_PASSED_OVER + " bytes without an end");
+        } else if (length >= 0) {
+            bad("a line of " + passedOver + " bytes");
+            passedOver = 0;
+        }
+    }
+
+    private void bad(String why) {
+        count("bad-notices");
+        log.line("pool-bad-notice what=\"" + why + "\"");
+    }
+
+    /** For how long nothing has come though something was asked. */
+    long silentFor(long now) {
+        return waitsSince == NEVER ? 0 : now - waitsSince;
+    }
+
     private void notice(Fields notice) throws IOException, Malformed {
         String action = notice.text("action");
         count("notice-" + (Pool.NOTICES.contains(action) ? action : "other"));
         long place = notice.whole("pos", 0);
-        if (place > 0 && !pool.isNext(place)) {
+        if (place > 0 && !pool.isNext(this, place)) {
             return;
         }
         switch (action) {
@@ -91,6 +122,7 @@
             case "blocked" -> broker.blocked(notice.text("uid"), decoded(notice.text("content", "")));
             case "polled" -> {
                 if (notice.text("echo", "").equals(CAUGHT_UP)) {
+                    pool.caughtUp();
                     broker.caughtUp();
                 } else {
                     broker.polled(notice.text("echo", ""), notice.numbers("meters"));
@@ -108,16 +140,22 @@
     }
 
     private void finished(Fields notice) throws IOException, Malformed {
-        String code = notice.text("code");
-        Outcome outcome = switch (code) {
-            case "done" -> Outcome.GOOD;
-            case "crashed" -> Outcome.FAILED;
-            case "aborted" -> Outcome.STOPPED;
-            case "stale" -> Outcome.MOOT;
-            default -> throw new Malformed(Reason.MALFORMED, "finished as " + code);
-        };
-        byte[] result = outcome == Outcome.GOOD ? decoded(notice.text("content", "")) : null;
-        broker.finished(notice.text("uid"), outcome, notice.whole("wall_ms", 0) * MILLI, result);
+        String id = notice.text("uid");
+        try {
+            String code = notice.text("code");
+            Outcome outcome = switch (code) {
+                case "done" -> Outcome.GOOD;
+                case "crashed" -> Outcome.FAILED;
+                case "aborted" -> Outcome.STOPPED;
+                case "stale" -> Outcome.MOOT;
+                default -> throw new Malformed(Reason.MALFORMED, "finished as " + code);
+            };
+            byte[] result = outcome == Outcome.GOOD ? decoded(notice.text("content", "")) : null;
+            broker.finished(id, outcome, notice.whole("wall_ms", 0) * MILLI, result);
+        } catch (IOException | Malformed unreadable) { // it is over, and its result is lost
+            broker.finished(id, Outcome.FAILED, 0, null);
+            throw unreadable;
+        }
     }
 
     private static byte[] decoded(String content) throws Malformed {
@@ -128,6 +166,11 @@
         }
     }
 
+    private void ask(String line) {
+        waitsSince = Math.min(waitsSince, pool.now());
+        command(line);
+    }
+
     private void command(String line) {
         ByteBuf out = room(line.length() + 1);
         out.writeCharSequence(line, StandardCharsets.UTF_8);
@@ -175,7 +218,7 @@
 
     @Override
     public void poll(String echo) {
-        named("poll", "echo", echo);
+        ask("{\"action\":\"poll\",\"echo\":\"" + echo + "\"}");
     }
 
     @Override
--- a/src/test/java/mothwing/pool/PoolTest.java
+++ b/src/test/java/mothwing/pool/PoolTest.java
@@ -260,11 +260,116 @@
         assertEquals(2, stand.lines.stream().filter(line -> line.contains("reason=moved")).count());
     }
 
+    /** Guards against one line that cannot be read and is said again on each new link: the server would do nothing else. */
+    @Example
+    void aNoticeThatCannotBeReadCostsItselfAlone() {
+        turn();
+        ask(true);
+        ask(false);
+        stand.pass(5_000);
+        turn();
+        notices.add("{\"pos\":1,\"action\":");
+        say(notices.get(0));
+        notices.add("x".repeat(PoolLink.MOST_LINE + 1));
+        say(notices.get(1));
+        notice("\"finished\",\"uid\":\"" + Stand.id(1) + "\",\"code\":\"done\",\"wall_ms\":7,\"content\":\"?\"");
+        for (int i = 0; i < 50; i++) {
+            stand.pass(20_000);
+            turn();
+        }
+        assertEquals("crashed", answers.get(Stand.id(1)), "it is over, and what came of it cannot be read");
+        end(Stand.id(2), "done");
+        assertEquals("served", answers.get(Stand.id(2)));
+        assertEquals(2, channels.size(), "the link is opened again once, for what was missing");
+        assertEquals(2, stand.counters.get("pool-notices-missed"));
+        assertTrue(pool.ready());
+        runs.values().forEach(times -> assertEquals(1, times));
+    }
+
+    /** Guards against a gap that another link would have filled, and against a number that silences all that follow. */
+    @Example
+    void whatIsMissingIsAskedForAgainAndASenselessNumberIsPassedOver() {
+        turn();
+        ask(true);
+        stand.pass(5_000);
+        turn();
+        say("{\"pos\":900000000000,\"action\":\"chatter\",\"code\":\"x\"}");
+        running.remove(Stand.id(1));
+        notices.add("{\"pos\":1,\"action\":\"finished\",\"uid\":\"" + Stand.id(1)
+                + "\",\"code\":\"done\",\"wall_ms\":7,\"content\":\""
+                + Base64.getEncoder().encodeToString(Stand.result(Stand.id(1))) + "\"}"); // never arrives
+        notice("\"chatter\",\"code\":\"all is well\"");
+        assertEquals(null, answers.get(Stand.id(1)));
+        for (int i = 0; i < 5; i++) {
+            stand.pass(20_000);
+            turn();
+        }
+        assertEquals("served", answers.get(Stand.id(1)));
+        assertEquals(0, stand.counters.get("pool-notices-missed"));
+        assertEquals(1, stand.counters.get("pool-notices-misnumbered"));
+    }
+
+    /** Guards against a link that is silent without being closed, and against one that is slow and is left for it. */
+    @Example
+    void aSilentLinkIsLeftOnceThePoolHasTakenAnother() {
+        turn();
+        ask(true);
+        stand.pass(5_000);
+        turn();
+        EmbeddedChannel silent = channel;
+        for (int i = 0; i < 19; i++) {
+            stand.pass(100_000); // the pool reads nothing
+        }
+        assertEquals(1, channels.size(), "it may be slow");
+        for (int i = 0; i < 10; i++) {
+            stand.pass(100_000);
+        }
+        assertEquals(2, channels.size());
+        assertTrue(silent.isOpen(), "it is heard until the pool has taken the other");
+        for (int i = 0; i < 5; i++) {
+            turn();
+            stand.pass(20_000);
+        }
+        assertFalse(silent.isOpen());
+        end(Stand.id(1), "done");
+        assertEquals("served", answers.get(Stand.id(1)));
+        assertEquals(1, runs.get(Stand.id(1)));
+    }
+
+    /** Guards against a pool that comes up late and is taken for silent. */
+    @Example
+    void aPoolThatHasNotComeUpIsWaitedForOnOneLink() {
+        stand.pass(60_000_000);
+        assertEquals(1, channels.size());
+        turn();
+        assertTrue(pool.ready());
+    }
+
     @Example
     void aLineWithoutAnEndClosesTheLink() {
         turn();
-        channel.writeInbound(Unpooled.wrappedBuffer(new byte[PoolLink.MOST_LINE + 1]));
+        for (int i = 0; i < PoolLink.MOST_PASSED_OVER / PoolLink.MOST_LINE; i++) {
+            assertTrue(channel.isOpen());
+            channel.writeInbound(Unpooled.wrappedBuffer(new byte[PoolLink.MOST_LINE + 1]));
+        }
         assertFalse(channel.isOpen());
-        assertTrue(stand.lines.get(stand.lines.size() - 1).contains("reason=oversized"));
+        assertTrue(stand.lines.stream().anyMatch(line -> line.contains("side=pool") && line.contains("reason=oversized")));
+    }
+
+    /** Guards against a link that fails over and over and is opened again without a pause. */
+    @Example
+    void linksThatFailOneAfterTheOtherAreOpenedEverMoreSeldom() {
+        turn();
+        for (int i = 0; i < 300; i++) {
+            stand.pass(10_000);
+            if (channel.isOpen()) {
+                taken = true;
+                say("{\"action\":\"bound\",\"code\":\"seasoned\",\"wall_ms\":5}");
+                for (int j = 0; j <= PoolLink.MOST_PASSED_OVER / PoolLink.MOST_LINE && channel.isOpen(); j++) {
+                    channel.writeInbound(Unpooled.wrappedBuffer(new byte[PoolLink.MOST_LINE + 1]));
+                }
+            }
+        }
+        assertTrue(channels.size() < 15, "links in 3 s: " + channels.size());
     }
 }
