Report on whichever connection opens first where one takes long to open

Now another is begun each second, three at most; the first that is open carries the reports, later ones are closed. The property test was seen failing without it.

--- a/src/main/java/mothwing/announce/Announcer.java
+++ b/src/main/java/mothwing/announce/Announcer.java
@@ -10,10 +10,13 @@
 /**
  * Keeps this shop server listed: a report every second, over a connection that is opened again when it breaks. A
  * report that gets no answer within its second is left behind with its connection, and the next one leaves on a new
- * one: to wait for the answer would let the entry lapse.
+ * one: to wait for the answer would let the entry lapse. So would waiting for a connection that takes long to open: each
+ * second another is begun beside it, and the first that is open carries the reports.
  */
 public final class Announcer {
     static final long PERIOD = 1_000_000;
+    /** Most connections that are being opened at once. */
+    static final int MOST_DIALS = 3;
 
     private final String name;
     private final BooleanSupplier accepting;
@@ -22,8 +25,8 @@
     private final Log log;
     private Dial dialer;
     private ReportLink link;
-    private int dials;
-    private boolean dialing;
+    private int address; // counts the addresses it was given
+    private int dialing; // to the newest of them
     private boolean stopped;
 
     /**
@@ -61,7 +64,7 @@
         }
         if (link != null) {
             link.report(accepting.getAsBoolean());
-        } else if (!dialing) {
+        } else if (dialing < MOST_DIALS) {
             dial();
         }
     }
@@ -74,12 +77,12 @@
     }
 
     private void dial() {
-        dialing = true;
-        int mine = ++dials;
+        dialing++;
+        int mine = address;
         dialer.dial(() -> new ReportLink(this, mine, name, log, counters), () -> {
             counters.add("announce-unreached");
-            if (mine == dials) {
-                dialing = false;
+            if (mine == address) {
+                dialing--;
             }
         });
     }
@@ -91,6 +94,8 @@
      */
     public void moved(Dial elsewhere) {
         dialer = elsewhere;
+        address++;
+        dialing = 0;
         leave(Reason.MOVED);
         if (!stopped) {
             dial();
@@ -103,13 +108,13 @@
         leave(Reason.DRAIN);
     }
 
-    /** A connection is open: the next report leaves on it, unless it comes too late. */
-    void opened(ReportLink opened, int dial) {
-        if (stopped || dial != dials) {
+    /** A connection is open: reports leave on it, unless it comes too late. */
+    void opened(ReportLink opened, int to) {
+        dialing -= to == address ? 1 : 0;
+        if (stopped || to != address || link != null) {
             opened.close(stopped ? Reason.DRAIN : Reason.MOVED, "");
             return;
         }
-        dialing = false;
         link = opened;
         link.report(accepting.getAsBoolean());
     }
--- a/src/main/java/mothwing/announce/ReportLink.java
+++ b/src/main/java/mothwing/announce/ReportLink.java
@@ -17,20 +17,20 @@
     private static final int NO_CONTENT = 204;
 
     private final Announcer announcer;
-    private final int dial;
+    private final int address;
     private final String name;
     private boolean waiting;
 
-    ReportLink(Announcer announcer, int dial, String name, Log log, Counters counters) {
+    ReportLink(Announcer announcer, int address, String name, Log log, Counters counters) {
         super("announce", MOST_ANSWER, log, counters);
         this.announcer = announcer;
-        this.dial = dial;
+        this.address = address;
         this.name = name;
     }
 
     @Override
     protected void opened() {
-        announcer.opened(this, dial);
+        announcer.opened(this, address);
     }
 
     @Override
--- a/src/test/java/mothwing/announce/AnnouncerTest.java
+++ b/src/test/java/mothwing/announce/AnnouncerTest.java
@@ -93,4 +93,34 @@
         turn(true);
         assertEquals(before, heard, "no report after the notice to leave");
     }
+
+    /** Guards against a connection that takes long to open, and against dials without number while the service is away. */
+    @Property(seed = "1764576031", tries = 50)
+    void aDialThatHangsDoesNotLetTheEntryLapse(@ForAll @IntRange(min = 20, max = 39) int tenths) {
+        List<Supplier<? extends Connection>> hanging = new ArrayList<>();
+        announcer.moved((maker, failed) -> {
+            hanging.add(maker);
+            if (hanging.size() > 1) { // only the first one hangs
+                channels.add(stand.open(maker.get()));
+            }
+        });
+        heard = stand.now();
+        for (int i = 0; i < 40; i++) {
+            stand.pass(100_000);
+            turn(true);
+            assertTrue(stand.now() - heard < LAPSES / 2, "the entry nearly lapses");
+            if (i == tenths) {
+                channels.add(stand.open(hanging.get(0).get())); // open at last, after another
+            }
+        }
+        turn(true);
+        assertEquals(1, channels.stream().filter(EmbeddedChannel::isOpen).count(), "one connection");
+        List<Runnable> ends = new ArrayList<>();
+        announcer.moved((maker, failed) -> ends.add(failed));
+        stand.pass(20_000_000);
+        assertEquals(Announcer.MOST_DIALS, ends.size());
+        ends.get(0).run();
+        stand.pass(2_000_000);
+        assertEquals(Announcer.MOST_DIALS + 1, ends.size());
+    }
 }
