Start a tenant that takes the place of another without that one's debt

Brain.take kept quotaTokens by place; it fills them anew where the name changed. The test was seen failing without it; with the same name the debt stays.

--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -208,9 +208,9 @@
         rates = ladder();
     }
 
-    /** Takes settings whole. What was learned of a class stays with its place; buckets fade by themselves. */
+    /** Takes settings whole. What was learned or used up stays with its name; buckets fade by themselves. */
     private void take(Settings to) {
-        List<RequestClass> before = settings.classes();
+        Settings before = settings;
         settings = to;
         cores = Math.max(1, to.machine().cores());
         long round = Math.max(1, to.round());
@@ -234,7 +234,7 @@
         coming = Arrays.copyOf(coming, 2 * classes);
         for (int i = 0; i < classes; i++) {
             RequestClass kind = to.classes().get(i);
-            if (i >= known || !kind.name().equals(before.get(i).name())) {
+            if (i >= known || !kind.name().equals(before.classes().get(i).name())) {
                 pace[i] = paceOfAll;
                 runs[i] = 0;
                 callsPer[i] = kind.calls() ? 1 : 0;
@@ -242,8 +242,10 @@
         }
         int shares = quotaTokens.length;
         quotaTokens = Arrays.copyOf(quotaTokens, to.tenants().size());
-        for (int i = shares; i < quotaTokens.length; i++) {
-            quotaTokens[i] = quota(i) * QUOTA_SECONDS;
+        for (int i = 0; i < quotaTokens.length; i++) {
+            if (i >= shares || !to.tenants().get(i).name().equals(before.tenants().get(i).name())) {
+                quotaTokens[i] = quota(i) * QUOTA_SECONDS; // a debt is its maker's
+            }
         }
     }
 
--- a/src/test/java/mothwing/BrainTest.java
+++ b/src/test/java/mothwing/BrainTest.java
@@ -774,4 +774,29 @@
             }
         }
     }
+
+    private static Request of(RecordingHost host, String id, int tenant) {
+        return new Request(id, SAVE, tenant, 100_000, 1_000, null, 10, null, 0.5, host.now() + 3 * SECOND, true);
+    }
+
+    /** Guards against a tenant that comes by new settings and starts with what the one at its place before had used up. */
+    @Test
+    void aTenantThatTakesThePlaceOfAnotherDoesNotInheritItsDebt() {
+        for (boolean same : new boolean[] {true, false}) {
+            RecordingHost host = host();
+            for (int i = 0; i < 400; i++) {
+                host.read(of(host, "spent" + i, 0));
+                host.finish("spent" + i, Outcome.GOOD);
+            }
+            Settings base = host.settings();
+            host.retune(new Settings(base.seed(), base.round(), base.classes(),
+                    List.of(new Tenant(same ? "one" : "three", 100), new Tenant("two", 100)), base.replicas(), base.callers(),
+                    base.worthByWork(), base.overShareWorth(), base.freshFor(), base.goal(), base.rules(),
+                    base.dependency(), base.machine(), base.signals()));
+            host.read(of(host, "busy1", 1), of(host, "busy2", 1));
+            host.read(of(host, "first", 0), of(host, "second", 1));
+            host.finish("busy1", Outcome.GOOD);
+            assertTrue(host.did(same ? "start second" : "start first"), "a debt is its maker's, and only its");
+        }
+    }
 }
