Close connections in two steps, after reading what lies in their sockets

Seen, with the event loop held at the line 'drain ' while a request is written to a resting connection: 'closed without an answer' (Leave begins, and closes what is quiet, in the same turn of the loop in which the notice comes, before the sockets are read); the same for a connection that gives way to a newcomer which connected first. A malformed message closed over what lay behind it: 'in=2048' of 50,073 bytes, so a reset. And a notice to leave before the listener was bound ended the process's work while the listener opened behind it. Ruled out: the idle limit, whose timers run behind the reads of their turn (its test holds with and without the change). Now a quiet connection is read once more before it is closed; a close shuts this side, drops what still comes (128 KiB, 250 ms, 16 connections beside the bound at most) and closes behind the other side; the way out waits for what is being bound; the bound goes by the kernel's limit on descriptors, a failed accept makes room.

--- a/src/main/java/mothwing/net/Attendance.java
+++ b/src/main/java/mothwing/net/Attendance.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import mothwing.broker.Timers;
 
 /**
@@ -15,12 +17,16 @@
     private static final long TICK = 20_000; // microseconds
     private static final long STOOD_STILL = 150_000; // microseconds between looks: what was sent meanwhile is not read yet
     private static final long NEWCOMER = 250_000; // microseconds in which the first request of a connection is on its way
+    private static final int TRIES = 4; // of those that may give way, how many may turn out to have asked something
+    /** Most connections that are shut on this side and wait for the other; they take no place of one that is open. */
+    static final int MOST_LINGERING = 16;
 
     private final long patience;
     private final Timers timers;
     private final TimingWheel wheel;
     private final Map<Connection, Place> all = new LinkedHashMap<>();
     private final Map<Connection, Place> strangers = new LinkedHashMap<>(); // the longest silent first
+    private final Set<Connection> lingering = new LinkedHashSet<>(); // the longest first
     private long span;
     private Reason why = Reason.IDLE;
     private long lookedAt;
@@ -30,6 +36,7 @@
     private final class Place extends TimingWheel.Entry {
         private final Connection connection;
         private long quietSince;
+        private boolean closes;
 
         Place(Connection connection, long now) {
             this.connection = connection;
@@ -38,10 +45,18 @@
 
         /** Something came or left on it. */
         void stirred() {
+            if (connection.lingers()) {
+                linger(connection);
+                return;
+            }
             long now = timers.now();
             quietSince = connection.quiet() ? now : Connection.NEVER;
-            if (why == Reason.DRAIN && connection.quiet() && !connection.stranger() && !unread && !late(now)) {
-                connection.close(why, ""); // right behind its last answer: who asks one thing after the other is never idle
+            if (why == Reason.DRAIN && connection.quiet() && !connection.stranger() && !unread && !late(now) && !closes) {
+                closes = true; // right behind its last answer: who asks one thing after the other is never idle
+                timers.at(now, () -> {
+                    closes = false;
+                    closeIfQuiet();
+                });
             }
             if (strangers.remove(connection) != null && connection.stranger()) {
                 strangers.put(connection, this);
@@ -57,6 +72,16 @@
             }
         }
 
+        /** What lies in its socket is read first: a request there is answered, and the connection stays for it. */
+        private void closeIfQuiet() {
+            if (all.containsKey(connection) && connection.quiet()) {
+                connection.readNow();
+                if (connection.quiet()) {
+                    connection.close(why, "");
+                }
+            }
+        }
+
         /** The span for which it may be quiet; one that has just come has its first request on its way. */
         private long rest() {
             return span > 0 && connection.stranger() ? Math.max(span, NEWCOMER) : span;
@@ -73,7 +98,7 @@
             } else if (quietSince == Connection.NEVER) {
                 quietSince = now;
             } else if (now - quietSince >= rest()) {
-                connection.close(why, "");
+                closeIfQuiet();
             }
             if (all.containsKey(connection)) {
                 arm(now);
@@ -114,12 +139,25 @@
         Place place = all.remove(connection);
         if (place != null) {
             strangers.remove(connection);
+            lingering.remove(connection);
             wheel.remove(place);
         }
     }
 
-    /** How many are open. */
+    /** It is shut on this side: it has no place any longer, and at the bound of such ones the first of them ends now. */
+    private void linger(Connection connection) {
+        if (all.containsKey(connection) && lingering.add(connection) && lingering.size() > MOST_LINGERING) {
+            lingering.iterator().next().endLinger();
+        }
+    }
+
+    /** How many are open, without those that linger. */
     int size() {
+        return all.size() - lingering.size();
+    }
+
+    /** How many hold a descriptor. */
+    int held() {
         return all.size();
     }
 
@@ -129,20 +167,14 @@
      * way, and a gateway whose first request is on its way those that came before.
      */
     void makeRoom() {
-        Place least = null;
-        for (Place one : strangers.values()) {
-            if (!one.connection.closed()) {
-                least = one;
+        Place least = least();
+        for (int i = 0; i < TRIES && least != null; i++) {
+            least.connection.readNow();
+            Place now = least();
+            if (now == least) {
                 break;
             }
-        }
-        if (least == null) {
-            for (Place one : all.values()) {
-                boolean quiet = !one.connection.closed() && one.connection.quiet();
-                if (quiet && (least == null || one.quietSince < least.quietSince)) {
-                    least = one;
-                }
-            }
+            least = now; // something lay in its socket
         }
         if (least != null) {
             strangers.remove(least.connection);
@@ -150,6 +182,22 @@
         }
     }
 
+    private Place least() {
+        for (Place one : strangers.values()) {
+            if (!one.connection.closed()) {
+                return one;
+            }
+        }
+        Place least = null;
+        for (Place one : all.values()) {
+            boolean quiet = !one.connection.closed() && one.connection.quiet();
+            if (quiet && (least == null || one.quietSince < least.quietSince)) {
+                least = one;
+            }
+        }
+        return least;
+    }
+
     /**
      * Closes what overstays now, but for the first look after the process stood still: a connection that seems quiet may
      * have a request in its socket. A change of the span or the reason looks at every connection once, else only what is
--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -2,10 +2,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import mothwing.broker.Counters;
 import mothwing.broker.Log;
 import mothwing.broker.Timers;
@@ -17,6 +20,10 @@
 public abstract class Connection extends ChannelInboundHandlerAdapter {
     /** A time that never comes. */
     protected static final long NEVER = Long.MAX_VALUE;
+    /** Milliseconds for which the other side may close too, after this side has sent its last byte. */
+    static final int LINGER_MS = 250;
+    /** Most bytes that are read and dropped meanwhile; over it the connection is closed as it is. */
+    static final int MOST_DROPPED = 128 << 10;
 
     private final String side;
     private final int mostGathered;
@@ -28,6 +35,9 @@
     private String detail = "";
     private boolean closing;
     private boolean ended;
+    private boolean handledEnd;
+    private boolean lingers;
+    private int dropped;
     private long bytesIn;
     private long bytesOut;
     private long pieces;
@@ -200,7 +210,9 @@
     }
 
     /**
-     * Closes the connection once all that was sent has left.
+     * Closes the connection once all that was sent has left: this side is shut first, and what still comes is read and
+     * dropped until the other side closes too, for {@link #LINGER_MS} at most. A close over unread bytes would reset the
+     * connection, and an answer on its way could go with that.
      *
      * @param why the reason
      * @param what more on it, or an empty text
@@ -215,7 +227,48 @@
         deafSince = Math.min(deafSince, now());
         stirred.run();
         context.channel().config().setAutoRead(false);
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(left -> {
+            if (left.isSuccess() && context.channel() instanceof DuplexChannel duplex && duplex.isActive()) {
+                duplex.shutdownOutput().addListener(shut -> linger((ChannelFuture) shut));
+            } else {
+                context.close();
+            }
+        });
+    }
+
+    private void linger(ChannelFuture shut) {
+        if (!shut.isSuccess() || !context.channel().isActive()) {
+            context.close();
+            return;
+        }
+        lingers = true;
+        handleEnd();
+        stirred.run();
+        if (context.channel().isOpen()) {
+            context.channel().config().setAutoRead(true);
+            context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Whether this side is shut, and only the other one's close is waited for. */
+    final boolean lingers() {
+        return lingers;
+    }
+
+    /** Closes it now. */
+    final void endLinger() {
+        context.close();
+    }
+
+    /**
+     * Reads what lies in the socket, as is done before a connection is closed for having nothing open on it. Not from within a
+     * read of this connection.
+     */
+    final void readNow() {
+        if (!closed() && context.channel().config().isAutoRead()
+                && context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
     }
 
     /**
@@ -238,6 +291,14 @@
     public final void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf came = (ByteBuf) message;
         bytesIn += came.readableBytes();
+        if (lingers) {
+            dropped += came.readableBytes();
+            came.release();
+            if (dropped > MOST_DROPPED) {
+                ctx.close();
+            }
+            return;
+        }
         if (gathered == null) {
             gathered = came;
         } else {
@@ -333,6 +394,20 @@
         }
     }
 
+    /** Whatever was open on it is over, once this side can send nothing more. */
+    private void handleEnd() {
+        if (handledEnd) {
+            return;
+        }
+        handledEnd = true;
+        try {
+            ended();
+        } catch (RuntimeException broken) {
+            counters.add("faults");
+            log.line("fault side=" + side + " what=\"" + broken + "\"");
+        }
+    }
+
     @Override
     public final void channelInactive(ChannelHandlerContext ctx) {
         if (ended) {
@@ -342,12 +417,7 @@
         if (gathered != null) {
             drop();
         }
-        try {
-            ended();
-        } catch (RuntimeException broken) {
-            counters.add("faults");
-            log.line("fault side=" + side + " what=\"" + broken + "\"");
-        }
+        handleEnd();
         count("ended-" + reason.code());
         log.line("end side=" + side + " reason=" + reason.code() + " peer=" + ctx.channel().remoteAddress()
                 + " in=" + bytesIn + " out=" + bytesOut + " pieces=" + pieces
--- a/src/main/java/mothwing/net/Listener.java
+++ b/src/main/java/mothwing/net/Listener.java
@@ -53,6 +53,21 @@
 
     /** A listening socket that can be closed without losing who waits at it. */
     private final class Entrance extends NioServerSocketChannel {
+        /**
+         * Where no descriptor is left, below the bound as it may be, somebody gives way. Who waits is accepted a second later:
+         * the runtime rests for so long after a failure, so that nothing turns in circles.
+         */
+        @Override
+        protected int doReadMessages(List<Object> accepted) throws Exception {
+            try {
+                return super.doReadMessages(accepted);
+            } catch (IOException none) {
+                counters.add(side + "-not-accepted");
+                attendance.makeRoom();
+                throw none;
+            }
+        }
+
         /**
          * Takes all that waits and closes, with nothing between. The runtime puts off the close of a channel that its
          * selector holds, and what connects meanwhile is reset; so it is taken out first, and a select lets go of it.
@@ -220,12 +235,12 @@
     }
 
     /**
-     * How many connections are open.
+     * How many connections hold a descriptor: those that are open, and those that wait for the other side's close.
      *
      * @return their number
      */
     public int open() {
-        return attendance.size();
+        return attendance.held();
     }
 
     /**
--- /dev/null
+++ b/src/main/java/mothwing/server/Descriptors.java
@@ -0,0 +1,54 @@
+package mothwing.server;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** How many descriptors this process may hold, and how many of them no client gets. */
+final class Descriptors {
+    private static final Path LIMITS = Path.of("/proc/self/limits");
+    private static final String OPEN_FILES = "Max open files";
+    private static final int MOST_SPARE = 64;
+    private static final int LEAST_SPARE = 32; // the runtime's files and selector, the links, their dials, the listeners
+
+    private Descriptors() {
+    }
+
+    /**
+     * The lower of what the configuration says and what the kernel does.
+     *
+     * @param told the number in the configuration
+     * @return descriptors, above 0
+     */
+    static int most(int told) {
+        try {
+            return Math.min(told, limit(Files.readAllLines(LIMITS, StandardCharsets.ISO_8859_1), told));
+        } catch (IOException notLinux) {
+            return told;
+        }
+    }
+
+    /** The soft limit in the kernel's table, or another number where it says none. */
+    static int limit(List<String> table, int otherwise) {
+        for (String line : table) {
+            if (line.startsWith(OPEN_FILES)) {
+                String soft = line.substring(OPEN_FILES.length()).strip().split("\\s+")[0];
+                return soft.matches("[1-9][0-9]{0,8}") ? Integer.parseInt(soft) : otherwise;
+            }
+        }
+        return otherwise;
+    }
+
+    /**
+     * Descriptors that are kept for the links to the pool, the ledger and the announce service, for connections whose other
+     * side has yet to close, and for the runtime: however many clients come, reports and runs go on.
+     *
+     * @param most descriptors in all
+     * @return their number: a quarter, between {@value #LEAST_SPARE} and {@value #MOST_SPARE}
+     */
+    static int spare(int most) {
+        return Math.max(LEAST_SPARE, Math.min(MOST_SPARE, most / 4));
+    }
+}
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -43,7 +43,6 @@
 public final class Server implements Service {
     private static final long MILLI = 1000;
     private static final long TRIM_PERIOD = 50 * MILLI;
-    private static final int SPARE_SOCKETS = 64; // for the links, the listeners and the files of the runtime
     private static final int MOST_OPERATORS = 16;
     private static final long PATIENCE = 2500 * MILLI; // some write for 2 s; bad clients are owed an end within 3 s
     private static final long DOOR_PATIENCE = 10_000 * MILLI; // operators may type; others make room at the bound
@@ -66,6 +65,7 @@
     private final Announcer announcer;
     private volatile boolean failed;
     private boolean leaving;
+    private int binding = 1; // binds under way, and the start itself
     private Config config;
     private Listener door;
     private Peer peer;
@@ -128,7 +128,8 @@
      * @throws IOException where it cannot listen
      */
     public void start() throws IOException {
-        int most = Math.max(1, (config.sockets() - SPARE_SOCKETS) / (ajp == null ? 1 : 2));
+        int descriptors = Descriptors.most(config.sockets());
+        int most = Math.max(1, (descriptors - Descriptors.spare(descriptors)) / (ajp == null ? 1 : 2));
         fronts.add(new Front(listener("fastcgi", () -> new FastCgiConnection(broker, log, counters), most, PATIENCE),
                 config.listen()));
         if (ajp != null) {
@@ -154,6 +155,7 @@
                 peer.start();
             }
             trim();
+            bindingOver();
         });
         log.line("start name=" + config.name() + " listen=" + config.listen() + " ajp=" + (ajp == null ? "off" : ajp)
                 + " management=" + (door == null ? "off" : door.address()) + " sockets=" + config.sockets()
@@ -169,6 +171,7 @@
             ChannelFuture bound = one.listener().listen(loop, allocator, one.address()).awaitUninterruptibly();
             if (!bound.isSuccess()) {
                 failed = true;
+                ended.countDown();
                 throw new IOException("cannot listen on " + one.address() + ": " + bound.cause().getMessage());
             }
             if (one.listener() != door) {
@@ -182,12 +185,12 @@
             if (leaving) {
                 return;
             }
+            binding++;
             one.listener().listen(loop, allocator, one.address()).addListener(bound -> {
-                if (bound.isSuccess() && leaving) {
-                    one.listener().stop(() -> { });
-                } else if (bound.isSuccess()) {
+                if (bound.isSuccess()) {
                     listeners.add(one.listener());
                     log.line("takes-clients listen=" + one.address());
+                    bindingOver();
                 } else {
                     failed = true;
                     log.line("listen-failed address=" + one.address() + " what=\"" + bound.cause().getMessage() + "\"");
@@ -284,6 +287,7 @@
         }
     }
 
+    /** While an address is being bound the way out waits: who connects to it in that moment is owed an answer too. */
     @Override
     public void drain() {
         loop.execute(() -> {
@@ -293,17 +297,30 @@
                 if (peer != null) {
                     peer.leave();
                 }
-                new Leave(loop, timers, broker, log, () -> {
-                    pool.stop();
-                    if (peer != null) {
-                        peer.close();
-                    }
-                    ended.countDown();
-                }).begin(listeners, config.management() != null, config);
+                if (binding == 0) {
+                    leave();
+                }
             }
         });
     }
 
+    private void bindingOver() {
+        binding--;
+        if (binding == 0 && leaving) {
+            leave();
+        }
+    }
+
+    private void leave() {
+        new Leave(loop, timers, broker, log, () -> {
+            pool.stop();
+            if (peer != null) {
+                peer.close();
+            }
+            ended.countDown();
+        }).begin(listeners, config.management() != null, config);
+    }
+
     @Override
     public boolean failed() {
         return failed;
