--- a/src/main/java/mothwing/lab/PoolCores.java
+++ b/src/main/java/mothwing/lab/PoolCores.java
@@ -13,6 +13,7 @@
  * comes from its timers, work from its random numbers.
  */
 final class PoolCores {
+    private boolean fresh;
     private static final long UNENDING = Long.MAX_VALUE / 4;
     private static final double MICRO_SHARE = 1e-3; // microseconds of work left that count as done
 
@@ -175,8 +176,14 @@
         }
     }
 
+    /** Whether all was lost here once: whoever links then is told that the pool has just started. */
+    boolean fresh() {
+        return fresh;
+    }
+
     /** Power is lost: what runs is gone, and nobody is told. */
     void lose() {
+        fresh = true;
         off = true;
         List<Job> all = new ArrayList<>(running.values());
         all.addAll(paused.values());
--- a/src/main/java/mothwing/lab/Report.java
+++ b/src/main/java/mothwing/lab/Report.java
@@ -71,6 +71,7 @@
         summary.put("breaches", verdict.breaches());
         summary.put("doubts", verdict.doubts());
         summary.put("figures", Figures.of(trial, history));
+        summary.put("cold_starts", ColdStart.of(trial, history));
         Files.writeString(folder.resolve("summary.json"), JSON.toJson(summary) + "\n");
         Files.writeString(folder.resolve("seconds.csv"), one.csv(charts));
         Files.writeString(folder.resolve("index.html"), one.page(charts));
--- a/src/main/java/mothwing/lab/Served.java
+++ b/src/main/java/mothwing/lab/Served.java
@@ -101,7 +101,7 @@
                 + "'Classes':[{'Name':'stock-check','Target':%d,'GiveUp':%d,'Worth':1},{'Name':'place-order',"
                 + "'Target':%d,'GiveUp':%d,'Worth':10,'Idempotency':'single_shot'}],"
                 + "'Tenants':[{'Name':'one','QuotaPerS':1000000}],'Contract':{'AnswerSlack':100000,'DrainGrace':2000000,"
-                + "'FallMultiple':8,'Fall':2000000},'Limits':{'RetryAfter':true,'MaxRetryAfter':1000000},"
+                + "'FallMultiple':8,'Fall':2000000,'ColdFrom':0.3,'WarmAfter':10000000},'Limits':{'RetryAfter':true,'MaxRetryAfter':1000000},"
                 + "'Extra':{'Cores':%d,'MemoryKb':900000,'RunMemFactor':16,'Halt':'suspend','Idle':30000000,"
                 + "'Gauges':['cpu_busy','runnable','mem_used','sockets'],'Say':'threshold'}}}").replace('\'', '"'),
                 place.name(), Addresses.text(place.listen()), Addresses.text(place.door()), Addresses.text(place.pool()),
--- a/src/main/java/mothwing/lab/SimulationStage.java
+++ b/src/main/java/mothwing/lab/SimulationStage.java
@@ -192,7 +192,7 @@
             pool.broker = broker;
             timers(mine).at(time.now() + boot, () -> {
                 life.readyAt = time.now();
-                broker.bound(false, 3600 * SECOND);
+                broker.bound(mine > 1, mine > 1 ? 0 : 3600 * SECOND);
                 report(mine);
             });
         }
--- a/src/main/java/mothwing/lab/StandInPool.java
+++ b/src/main/java/mothwing/lab/StandInPool.java
@@ -168,7 +168,8 @@
     }
 
     private void bound(int after) throws IOException {
-        say("{\"action\":\"bound\",\"code\":\"seasoned\",\"wall_ms\":3600000}");
+        say(cores.fresh() ? "{\"action\":\"bound\",\"code\":\"fresh\",\"wall_ms\":0}"
+                : "{\"action\":\"bound\",\"code\":\"seasoned\",\"wall_ms\":3600000}");
         int number = told - notices.size();
         for (String notice : notices) {
             if (++number > after) {
--- a/src/main/java/mothwing/server/Descriptors.java
+++ b/src/main/java/mothwing/server/Descriptors.java
@@ -11,7 +11,9 @@
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final String OPEN_FILES = "Max open files";
     private static final int MOST_SPARE = 64;
-    private static final int LEAST_SPARE = 32; // the runtime's files and selector, the links, their dials, the listeners
+    private static final int LEAST_SPARE = 24; // links, dials and listeners, and those that wait for the other side's close
+    private static final int USUALLY_HELD = 16;
+    private static final Path OPEN = Path.of("/proc/self/fd");
 
     private Descriptors() {
     }
@@ -46,9 +48,16 @@
      * side has yet to close, and for the runtime: however many clients come, reports and runs go on.
      *
      * @param most descriptors in all
-     * @return their number: a quarter, between {@value #LEAST_SPARE} and {@value #MOST_SPARE}
+     * @param held how many this process holds before it listens
+     * @return their number: a quarter, {@value #MOST_SPARE} at most, but no less than those held and {@value #LEAST_SPARE} more
      */
-    static int spare(int most) {
-        return Math.max(LEAST_SPARE, Math.min(MOST_SPARE, most / 4));
+    static int spare(int most, int held) {
+        return Math.max(held + LEAST_SPARE, Math.min(MOST_SPARE, most / 4));
+    }
+
+    /** How many this process holds now, or an ordinary number where the kernel does not say. */
+    static int held() {
+        String[] all = OPEN.toFile().list();
+        return all == null ? USUALLY_HELD : all.length;
     }
 }
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -129,7 +129,7 @@
      */
     public void start() throws IOException {
         int descriptors = Descriptors.most(config.sockets());
-        int most = Math.max(1, (descriptors - Descriptors.spare(descriptors)) / (ajp == null ? 1 : 2));
+        int most = Math.max(1, (descriptors - Descriptors.spare(descriptors, Descriptors.held())) / (ajp == null ? 1 : 2));
         fronts.add(new Front(listener("fastcgi", () -> new FastCgiConnection(broker, log, counters), most, PATIENCE),
                 config.listen()));
         if (ajp != null) {
--- a/src/test/java/mothwing/server/CrossingTest.java
+++ b/src/test/java/mothwing/server/CrossingTest.java
@@ -163,6 +163,25 @@
         pool.spawns().forEach((id, times) -> assertEquals(1, times, id));
     }
 
+    /** Guards against a connection that waits to be accepted, its request written, as the notice closes the listener. */
+    @Test
+    void whoWaitsToBeAcceptedAsTheNoticeComesIsAnswered() throws Exception {
+        start(1, 256);
+        InetSocketAddress at = server.listening().get(0);
+        holdAt("reload-failed", () -> server.reloadFailed("the test holds the loop"));
+        server.drain();
+        try (Crossing one = new Crossing(at); Crossing silent = new Crossing(at)) {
+            byte[] request = Crossing.request(1, Stand.ORDER, Stand.id(1));
+            one.send(request);
+            one.awaitUnread(request.length);
+            log.release();
+            assertNotNull(one.answer(), "closed without an answer");
+            assertTrue(one.endsInOrder() && silent.endsInOrder());
+        }
+        server.await();
+        assertTrue(server.counts().contains(" owed=0 "), server.counts());
+    }
+
     /** Guards against the same at the idle limit, which here falls to nothing in the very turn in which the request comes. */
     @Test
     void aRequestThatLiesUnreadAsTheIdleLimitComesIsAnswered() throws Exception {
