Rename the homely words of net, broker and server to the terms of the field

Attendance is ConnectionTable (evict for makeRoom), Company SharedPortQuota, Neighbours SocketTable, Turns FairReads, Departure DrainState, Places Slots, Leave Drain. Names alone: the log, the counters and what operators call are as before.

--- a/src/bench/java/mothwing/net/IdleConnections.java
+++ b/src/bench/java/mothwing/net/IdleConnections.java
@@ -13,7 +13,7 @@
     private static final long PATIENCE = 2_500_000;
 
     private final List<Idle> all = new ArrayList<>();
-    private final Attendance attendance = new Attendance(PATIENCE, this);
+    private final ConnectionTable table = new ConnectionTable(PATIENCE, this);
     private long now;
     private int closed;
 
@@ -42,7 +42,7 @@
         for (int i = 0; i < many; i++) {
             now = SPAN * i / many;
             Idle one = new Idle(now);
-            attendance.add(one);
+            table.add(one);
             all.add(one);
         }
         now = 0;
@@ -61,7 +61,7 @@
     /** A look at the wheel. Nothing is due in the first span, as each is armed for its own end. */
     public void wheel() {
         now += STEP;
-        attendance.trim(SPAN, Reason.IDLE);
+        table.trim(SPAN, Reason.IDLE);
     }
 
     /** How many would have been closed, so that the work is not dropped. */
--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -67,7 +67,7 @@
     private boolean checkCheap;
     private boolean checkGood = true;
     private final Figures figures = new Figures();
-    private final Departure departure = new Departure();
+    private final DrainState drainState = new DrainState();
     private Consumer<Long> trimmer = span -> { };
     private Runnable onReady = () -> { };
     private BooleanSupplier shed = () -> false;
@@ -162,7 +162,7 @@
      * @return the milliseconds to stay away that the refusal advises, or -1 where the request is to be {@link #read}
      */
     public long sheds(String path) {
-        if (controller == null || departure.going() || !path.startsWith(Arrival.PATH) || !shed.getAsBoolean()) {
+        if (controller == null || drainState.going() || !path.startsWith(Arrival.PATH) || !shed.getAsBoolean()) {
             return -1;
         }
         String kind = path.substring(Arrival.PATH.length());
@@ -257,7 +257,7 @@
 
     /** What a health check may say at the best. */
     private boolean good() {
-        return departure.good(checkGood);
+        return drainState.good(checkGood);
     }
 
     /**
@@ -268,8 +268,8 @@
      * @return false after the notice to leave, in which case nothing has changed
      */
     public boolean away(boolean now) {
-        boolean before = departure.away();
-        if (!departure.away(now)) {
+        boolean before = drainState.away();
+        if (!drainState.away(now)) {
             return false;
         }
         if (now != before) {
@@ -284,7 +284,7 @@
      * @return true from the call until the one that ends it
      */
     public boolean away() {
-        return departure.away();
+        return drainState.away();
     }
 
     /**
@@ -293,7 +293,7 @@
      * @return true if so
      */
     public boolean serving() {
-        return controller != null && !departure.going();
+        return controller != null && !drainState.going();
     }
 
     /**
@@ -322,7 +322,7 @@
      * @return true if so
      */
     public boolean draining() {
-        return departure.going();
+        return drainState.going();
     }
 
     /**
@@ -352,14 +352,14 @@
      * @param handover whether another process takes clients at the same address
      */
     public void drain(long noticeAt, long stopAt, boolean handover) {
-        if (departure.going()) {
+        if (drainState.going()) {
             return;
         }
-        departure.notice(noticeAt, stopAt, told().rules().drainGrace(), handover);
+        drainState.notice(noticeAt, stopAt, told().rules().drainGrace(), handover);
         log.line("drain owed=" + owed() + " stop_ms=" + (stopAt - noticeAt) / MILLI + " handover=" + handover);
         if (controller != null) { // the notice may come before the pool is up
-            if (departure.closesAt() > timers.now()) {
-                timers.at(departure.closesAt(), this::tellLeave);
+            if (drainState.closesAt() > timers.now()) {
+                timers.at(drainState.closesAt(), this::tellLeave);
             } else {
                 tellLeave();
             }
@@ -377,7 +377,7 @@
     }
 
     private void tellLeave() {
-        event((to, at) -> to.drain(at, departure.stopAt()));
+        event((to, at) -> to.drain(at, drainState.stopAt()));
     }
 
     // what the pool brings
@@ -397,7 +397,7 @@
         log.line("ready cold=" + fresh + " age_ms=" + age / MILLI);
         controller.started(timers.now() - age);
         timers.at(timers.now() + WATCH, this::watch);
-        if (departure.going()) {
+        if (drainState.going()) {
             tellLeave();
         }
         onReady.run();
@@ -747,8 +747,8 @@
         } else if (one.ran() && !one.repeatable()) {
             fail(one, "ran-before"); // a stop threw its work away: it may have had its effect
             forgetUnlessRunning(one);
-        } else if (!departure.mayRun(one.readAt())) {
-            refuse(one, "drained", false, departure.advice(told().signals().longestAdvice()) / MILLI);
+        } else if (!drainState.mayRun(one.readAt())) {
+            refuse(one, "drained", false, drainState.advice(told().signals().longestAdvice()) / MILLI);
             open.remove(id);
         } else {
             counters.add("spawned");
@@ -775,7 +775,7 @@
         if (one.ran() && !one.repeatable()) {
             fail(one, "ran-before"); // a refusal promises that nothing ran
         } else {
-            refuse(one, "decided", dontRetry, (departure.advice(stayAway) + MILLI - 1) / MILLI);
+            refuse(one, "decided", dontRetry, (drainState.advice(stayAway) + MILLI - 1) / MILLI);
         }
         forgetUnlessRunning(one);
     }
@@ -813,7 +813,7 @@
 
     @Override
     public void say(double value) {
-        if (!departure.handsOver()) { // the free value would be taken for that of the process that follows
+        if (!drainState.handsOver()) { // the free value would be taken for that of the process that follows
             said = value;
         }
     }
--- a/src/main/java/mothwing/broker/InForce.java
+++ b/src/main/java/mothwing/broker/InForce.java
@@ -13,8 +13,8 @@
 
 /** The settings in force: classes and tenants at places that do not move while an open request refers to them. */
 final class InForce {
-    private final Places<RequestClass> classes = new Places<>(RequestClass::name);
-    private final Places<Tenant> tenants = new Places<>(Tenant::name);
+    private final Slots<RequestClass> classes = new Slots<>(RequestClass::name);
+    private final Slots<Tenant> tenants = new Slots<>(Tenant::name);
     private Settings settings;
     private boolean cold;
 
--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -47,7 +47,7 @@
     private long pieceSince = NEVER;
     private long deafSince = NEVER;
     private boolean introduced;
-    private Turns turns;
+    private FairReads turns;
     private boolean awaits;
     private boolean flushes;
 
@@ -107,7 +107,7 @@
     }
 
     /** Lets it take pieces in turns. */
-    final void inTurns(Turns all) {
+    final void inTurns(FairReads all) {
         turns = all;
     }
 
--- a/src/main/java/mothwing/net/Listener.java
+++ b/src/main/java/mothwing/net/Listener.java
@@ -44,12 +44,12 @@
     private final Counters counters;
     private final String side;
     private final Timers timers;
-    private final Attendance attendance;
+    private final ConnectionTable table;
     private Entrance channel;
     private boolean shared;
-    private Company company;
+    private SharedPortQuota quota;
     private boolean looking;
-    private Turns turns;
+    private FairReads turns;
 
     /** A listening socket that can be closed without losing who waits at it. */
     private final class Entrance extends NioServerSocketChannel {
@@ -63,7 +63,7 @@
                 return super.doReadMessages(accepted);
             } catch (IOException none) {
                 counters.add(side + "-not-accepted");
-                attendance.makeRoom();
+                table.evict();
                 throw none;
             }
         }
@@ -108,7 +108,7 @@
         this.maker = maker;
         this.most = most;
         this.timers = timers;
-        attendance = new Attendance(patience, timers);
+        table = new ConnectionTable(patience, timers);
         this.counters = counters;
     }
 
@@ -122,7 +122,7 @@
      *
      * @param all the turns, one for all listeners of a loop
      */
-    public void inTurns(Turns all) {
+    public void inTurns(FairReads all) {
         turns = all;
     }
 
@@ -150,7 +150,7 @@
                     }
                 });
         if (shared) {
-            company = new Company(most, timers.now());
+            quota = new SharedPortQuota(most, timers.now());
             bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                     .option(ChannelOption.AUTO_READ, false); // until it knows who else is there
         }
@@ -163,7 +163,7 @@
     }
 
     private int bound() {
-        return company == null ? most : Math.max(1, company.bound(timers.now()));
+        return quota == null ? most : Math.max(1, quota.bound(timers.now()));
     }
 
     /**
@@ -171,57 +171,57 @@
      * what is left to this one. To be called every few milliseconds, on the event loop.
      */
     public void look() {
-        if (company == null || !channel.isOpen() || channel.localAddress() == null) {
+        if (quota == null || !channel.isOpen() || channel.localAddress() == null) {
             return;
         }
-        for (int over = company.excess(timers.now(), attendance.size()); over > 0; over--) {
-            attendance.makeRoom();
+        for (int over = quota.excess(timers.now(), table.size()); over > 0; over--) {
+            table.evict();
         }
-        channel.config().setAutoRead(company.bound(timers.now()) > 0);
+        channel.config().setAutoRead(quota.bound(timers.now()) > 0);
         long at = timers.now();
-        if (looking || !company.wantsLook(at, attendance.size())) {
+        if (looking || !quota.wantsLook(at, table.size())) {
             return;
         }
         looking = true;
-        int own = attendance.size();
+        int own = table.size();
         InetSocketAddress address = channel.localAddress();
         GlobalEventExecutor.INSTANCE.execute(() -> { // the list may be long
-            Neighbours seen = null;
+            SocketTable seen = null;
             try {
-                seen = Neighbours.at(address, Neighbours.LISTS);
+                seen = SocketTable.at(address, SocketTable.LISTS);
             } catch (IOException | UncheckedIOException none) {
                 seen = null; // not Linux, or not to be read: it goes on as if alone
             }
-            Neighbours said = seen;
-            channel.eventLoop().execute(() -> looked(at, Math.min(own, attendance.size()), said));
+            SocketTable said = seen;
+            channel.eventLoop().execute(() -> looked(at, Math.min(own, table.size()), said));
         });
     }
 
-    private void looked(long at, int own, Neighbours seen) {
+    private void looked(long at, int own, SocketTable seen) {
         looking = false;
         if (seen == null) {
             counters.add(side + "-no-list-of-sockets");
-            company.blind();
+            quota.blind();
         } else {
-            company.saw(at, seen.listeners() > 1, seen.connections() - own);
+            quota.saw(at, seen.listeners() > 1, seen.connections() - own);
         }
         look();
     }
 
     private void accept(Channel accepted) {
-        if (attendance.size() >= bound()) {
+        if (table.size() >= bound()) {
             look(); // it may be alone, and have more
-            attendance.makeRoom();
+            table.evict();
         }
-        if (attendance.size() >= bound()) {
+        if (table.size() >= bound()) {
             counters.add(side + "-over-bound");
             accepted.close();
             return;
         }
         Connection connection = maker.get();
         connection.inTurns(turns);
-        attendance.add(connection);
-        accepted.closeFuture().addListener(closed -> attendance.remove(connection));
+        table.add(connection);
+        accepted.closeFuture().addListener(closed -> table.remove(connection));
         accepted.pipeline().addLast(connection);
     }
 
@@ -240,7 +240,7 @@
      * @return their number
      */
     public int open() {
-        return attendance.held();
+        return table.held();
     }
 
     /**
@@ -251,7 +251,7 @@
      * @param why the reason
      */
     public void trim(long span, Reason why) {
-        attendance.trim(span, why);
+        table.trim(span, why);
     }
 
     /**
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -34,7 +34,7 @@
 import mothwing.net.Dialer;
 import mothwing.net.Listener;
 import mothwing.net.Reason;
-import mothwing.net.Turns;
+import mothwing.net.FairReads;
 import mothwing.peer.Peer;
 import mothwing.pool.Pool;
 import mothwing.settings.Site;
@@ -135,7 +135,7 @@
         if (ajp != null) {
             fronts.add(new Front(listener("ajp", () -> new AjpConnection(broker, log, counters), most, PATIENCE), ajp));
         }
-        Turns turns = new Turns(timers);
+        FairReads turns = new FairReads(timers);
         broker.shedWith(turns::sheds);
         fronts.forEach(one -> one.listener().inTurns(turns));
         if (config.management() == null) {
@@ -282,7 +282,7 @@
         if (!leaving) {
             listeners.forEach(Listener::look);
         }
-        if (idleSpan > 0 && !leaving) { // on the way out Leave says how long connections may stay
+        if (idleSpan > 0 && !leaving) { // on the way out Drain says how long connections may stay
             listeners.forEach(one -> one.trim(idleSpan, Reason.IDLE));
         }
     }
@@ -312,7 +312,7 @@
     }
 
     private void leave() {
-        new Leave(loop, timers, broker, log, () -> {
+        new Drain(loop, timers, broker, log, () -> {
             pool.stop();
             if (peer != null) {
                 peer.close();
--- a/src/test/java/mothwing/net/InterleavingsTest.java
+++ b/src/test/java/mothwing/net/InterleavingsTest.java
@@ -178,9 +178,9 @@
             writing = 0;
             gateway = new Gateway.FastCgi();
             Connection connection = new FastCgiConnection(stand.broker, stand.lines::add, stand.counters);
-            attendance.add(connection);
+            table.add(connection);
             channel = stand.open(connection);
-            channel.closeFuture().addListener(closed -> attendance.remove(connection));
+            channel.closeFuture().addListener(closed -> table.remove(connection));
         }
 
         void write(int step) {
@@ -236,7 +236,7 @@
 
     private Stand stand;
     private ModelPool pool;
-    private Attendance attendance;
+    private ConnectionTable table;
     private List<Line> lines;
     private List<Asked> all;
     private Map<String, Long> ranAt;
@@ -249,7 +249,7 @@
         pool = new ModelPool();
         ranAt = new HashMap<>();
         stand = new Stand(of -> pool).bound();
-        attendance = new Attendance(60 * SECOND, stand);
+        table = new ConnectionTable(60 * SECOND, stand);
         all = new ArrayList<>();
         made = 0;
         leaving = false;
@@ -270,7 +270,7 @@
     private void pass(long span) {
         for (long left = span; left > 0; left -= 20_000) {
             stand.pass(Math.min(left, 20_000));
-            attendance.trim(leaving ? 20_000 : 30 * SECOND, leaving ? Reason.DRAIN : Reason.IDLE);
+            table.trim(leaving ? 20_000 : 30 * SECOND, leaving ? Reason.DRAIN : Reason.IDLE);
             pool.turn();
             check();
         }
@@ -285,7 +285,7 @@
             assertTrue(!leaving || ranAt.getOrDefault(one.id, 0L) < one.wholeAt || one.wholeAt <= noticeAt + GRACE,
                     one.id + " came after the grace and ran");
         }
-        assertTrue(attendance.held() <= WIDE);
+        assertTrue(table.held() <= WIDE);
     }
 
     @Property(seed = "1764576041", tries = 400)
@@ -302,12 +302,12 @@
                     line.channel.close();
                     line.open();
                 }
-                case 14 -> attendance.trim(1, Reason.IDLE);
+                case 14 -> table.trim(1, Reason.IDLE);
                 case 15 -> stand.broker.retune(settings(step / 20));
                 case 16 -> pool.lose(step % 40 == 16);
                 case 17 -> pool.back();
                 case 18 -> pass(step * 10L);
-                default -> attendance.makeRoom();
+                default -> table.evict();
             }
             check();
             if (i == leaves) {
