--- a/src/main/java/mothwing/lab/ColdStart.java
+++ b/src/main/java/mothwing/lab/ColdStart.java
@@ -17,10 +17,14 @@
  * @param refused how many of them it turned away
  * @param survives the crowd on its cores that the settings let it survive at its coldest, N
  * @param beyond N + 2 x root of N + 2: what callers that know nothing of each other may add by chance
+ * @param survivesInSpan the same crowd kept up for the whole span, in requests of mean work
+ * @param beyondInSpan the same bound for that number
  */
-record ColdStart(String server, long readyAt, int came, int told, int ran, int refused, double survives, double beyond) {
+record ColdStart(String server, long readyAt, int came, int told, int ran, int refused, double survives, double beyond,
+        double survivesInSpan, double beyondInSpan) {
     /** The span of the configuration that trials give their servers, in microseconds, and its other figures. */
     private static final long FALL = 2_000_000;
+    private static final double MILLI = 1000;
     private static final double FALL_MULTIPLE = 8;
     private static final double COLD_FROM = 0.3;
 
@@ -50,8 +54,13 @@
         int ran = (int) history.runs.stream().filter(run -> run.machine.equals(life.machine) && run.beganAt >= life.readyAt
                 && run.beganAt < end).count();
         double survives = (1 + (FALL_MULTIPLE - 1) * COLD_FROM) * trial.fleet().cores();
-        return new ColdStart(life.machine, life.readyAt, came, told, ran, refused, survives,
-                survives + 2 * Math.sqrt(survives) + 2);
+        double inSpan = survives * FALL / MILLI / trial.fleet().workMs();
+        return new ColdStart(life.machine, life.readyAt, came, told, ran, refused, survives, beyond(survives), inSpan,
+                beyond(inSpan));
+    }
+
+    private static double beyond(double budget) {
+        return budget + 2 * Math.sqrt(budget) + 2;
     }
 
     /** Whether a gateway's list left the server out and named it again after the start and before the call. */
