Draw the crossings also over decisions that start all at once

Change: half of the sequences are played with decisions that start everything and think of nothing else.

--- a/src/main/java/mothwing/lab/Stand.java
+++ b/src/main/java/mothwing/lab/Stand.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import mothwing.Brain;
 import mothwing.OverloadControl.Controller;
@@ -14,6 +15,7 @@
 import mothwing.OverloadControl.FreeValue;
 import mothwing.OverloadControl.Goal;
 import mothwing.OverloadControl.Halting;
+import mothwing.OverloadControl.Host;
 import mothwing.OverloadControl.Machine;
 import mothwing.OverloadControl.Outcome;
 import mothwing.OverloadControl.Repeats;
@@ -71,7 +73,12 @@
 
     /** Makes a broker with another way to the pool. */
     public Stand(Function<Stand, Workers> pool) {
-        broker = new Broker(settings(4.5, 2), Brain::new, pool.apply(this), this, counters, lines::add);
+        this(Brain::new, pool);
+    }
+
+    /** Makes a broker with other decisions and another way to the pool. */
+    public Stand(BiFunction<Settings, Host, Controller> decisions, Function<Stand, Workers> pool) {
+        broker = new Broker(settings(4.5, 2), decisions, pool.apply(this), this, counters, lines::add);
     }
 
     /** Settings like the site's, with patience in seconds and a number of cores. */
--- a/src/test/java/mothwing/net/InterleavingsTest.java
+++ b/src/test/java/mothwing/net/InterleavingsTest.java
@@ -13,7 +13,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import mothwing.Brain;
+import mothwing.OverloadControl.Host;
 import mothwing.OverloadControl.Outcome;
+import mothwing.OverloadControl.Request;
 import mothwing.OverloadControl.Settings;
 import mothwing.broker.Exchange;
 import mothwing.broker.Workers;
@@ -21,11 +24,11 @@
 import mothwing.lab.Answer;
 import mothwing.lab.Gateway;
 import mothwing.lab.Stand;
+import mothwing.testing.Undecided;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import net.jqwik.api.lifecycle.BeforeTry;
 
 /**
  * Bytes, answers, aborts, resets, the idle limit, new settings, the notice to leave, and links to the pool that are lost with
@@ -244,11 +247,24 @@
     private boolean leaving;
     private long noticeAt;
 
-    @BeforeTry
-    void anew() {
+    /** Decisions that start all at once and think of nothing else: what holds then is held by the core alone. */
+    private static final class Eager extends Undecided {
+        private final Host host;
+
+        Eager(Host host) {
+            this.host = host;
+        }
+
+        @Override
+        public void read(long now, Request request) {
+            host.start(request.id());
+        }
+    }
+
+    private void anew(boolean eager) {
         pool = new ModelPool();
         ranAt = new HashMap<>();
-        stand = new Stand(of -> pool).bound();
+        stand = new Stand(eager ? (settings, host) -> new Eager(host) : Brain::new, of -> pool).bound();
         table = new ConnectionTable(60 * SECOND, stand);
         all = new ArrayList<>();
         made = 0;
@@ -290,7 +306,9 @@
 
     @Property(seed = "1764576041", tries = 400)
     void oneAnswerARequestAndAtMostOneRunWhateverCrossesWhat(
-            @ForAll @Size(min = 20, max = 120) List<@IntRange(max = 99_999) Integer> steps, @ForAll @IntRange(max = 120) int leaves) {
+            @ForAll @Size(min = 20, max = 120) List<@IntRange(max = 99_999) Integer> steps, @ForAll @IntRange(max = 120) int leaves,
+            @ForAll boolean eager) {
+        anew(eager);
         for (int i = 0; i < steps.size() && !leaving; i++) {
             int step = steps.get(i);
             Line line = lines.get(step / 20 % WIDE);
