Hold what is owed here and there against each other at every drawn step

Change: at each step the requests that gateways wait for are as many as the core owes; half of the sequences end requests after the grace, and half keep runs on to the last moment.

--- a/src/test/java/mothwing/net/InterleavingsTest.java
+++ b/src/test/java/mothwing/net/InterleavingsTest.java
@@ -174,8 +174,15 @@
         int numbers;
         int writing;
 
-        void open() {
+        /** The gateway resets it: it waits for nothing any more. */
+        void reset() {
+            read();
             asked.values().forEach(one -> one.left = true);
+            channel.close();
+            open();
+        }
+
+        void open() {
             asked = new HashMap<>();
             numbers = 0;
             writing = 0;
@@ -302,6 +309,8 @@
                     one.id + " came after the grace and ran");
         }
         assertTrue(table.held() <= WIDE);
+        assertEquals(all.stream().filter(one -> one.wholeAt < Long.MAX_VALUE && one.answers == 0 && !one.left).count(),
+                stand.broker.owed(), "what is owed, here and there");
     }
 
     @Property(seed = "1764576041", tries = 400)
@@ -316,10 +325,7 @@
                 case 0, 1, 2, 3, 4, 5, 6, 7 -> line.write(step / 80);
                 case 8, 9, 10, 11 -> pool.end(step / 20, step % 7 > 0);
                 case 12 -> line.abort(step / 80);
-                case 13 -> {
-                    line.channel.close();
-                    line.open();
-                }
+                case 13 -> line.reset();
                 case 14 -> table.trim(1, Reason.IDLE);
                 case 15 -> stand.broker.retune(settings(step / 20));
                 case 16 -> pool.lose(step % 40 == 16);
@@ -338,8 +344,12 @@
         pool.back();
         if (leaving) {
             for (int i = 0; stand.now() < noticeAt + STOP - 150_000; i++) {
-                lines.get(i % WIDE).write(i);
-                pool.end(i, true);
+                if (i % 2 == 0 || stand.now() > noticeAt + GRACE + 100_000) { // half of them end what they write too late
+                    lines.get(i % WIDE).write(i);
+                }
+                if (leaves % 2 == 0) { // else runs go on until the end
+                    pool.end(i, true);
+                }
                 pass(50_000);
             }
             stand.broker.failOwed();
