A connection whose gateway has not read its answers yet is not closed as quiet

Seen, in a new test that fills a gateway's socket buffer and leaves requests unread behind it as SIGTERM comes: "closed without answer 10410 of 10440", that is the last 30 requests, which lay whole in the server's socket (by the kernel's list), had no answer and no reset either. They were read and dropped behind the half-close. To blame: Connection.quiet took a connection for quiet on which nothing is open and no part of a request has come. While a gateway does not read, nothing is read from it (channelWritabilityChanged), and readNow, which looks into the socket before a close, passes over a connection that is not read from. So the drain closed it 20 ms after the notice; an eviction would have, too. Ruled out: the turns of FairReads, which keep a connection by themselves, and the half-close, which sent all that was written.

Change: who has not read what was sent is not quiet. It is cut off after 2.5 s of that, as before, or read on as soon as it reads.

--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -101,9 +101,12 @@
         return NEVER;
     }
 
-    /** Whether nothing is open on it and no part of a piece has come: then it may be closed. */
+    /**
+     * Whether nothing is open on it, no part of a piece has come, and all that was sent is being read: then it may be closed. Who
+     * does not read is not read from, so that what it asked for may lie in its socket.
+     */
     final boolean quiet() {
-        return idle() && pieceSince == NEVER && !awaits;
+        return idle() && pieceSince == NEVER && !awaits && deafSince == NEVER;
     }
 
     /** Lets it take pieces in turns. */
--- a/src/test/java/mothwing/server/CrossingTest.java
+++ b/src/test/java/mothwing/server/CrossingTest.java
@@ -33,6 +33,7 @@
 class CrossingTest {
     private static final int STATUS_REFUSED = 503;
     private static final int STATUS_SERVED = 200;
+    private static final int LOOKS = 20;
 
     private final HeldLog log = new HeldLog();
     private InetSocketAddress listen = Loopback.any();
@@ -156,6 +157,42 @@
         pool.spawns().forEach((id, times) -> assertEquals(1, times, id));
     }
 
+    /** Asks until the server reads no further, as its answers are not read; says how many were asked for. */
+    private int fill(Crossing one) throws IOException {
+        int asked = 0;
+        for (int looks = 0; looks < LOOKS;) {
+            ByteArrayOutputStream some = new ByteArrayOutputStream();
+            for (int i = 1; i <= 30; i++) {
+                some.writeBytes(Crossing.counts(i));
+            }
+            one.send(some.toByteArray());
+            asked += 30;
+            looks = 0;
+            while (one.unread() > 0 && looks < LOOKS) { // each is a turn of the loop
+                server.counts();
+                looks++;
+            }
+        }
+        return asked;
+    }
+
+    /** Guards against a full socket buffer: nothing is read meanwhile, so a connection with requests in its socket seems to rest. */
+    @Test
+    void aRequestThatLiesUnreadBehindAFullSocketBufferAsTheNoticeToLeaveComesIsAnswered() throws Exception {
+        start(1, 256);
+        try (Crossing one = new Crossing(server.listening().get(0), 4096)) {
+            int asked = fill(one);
+            holdAt("drain ", server::drain);
+            one.awaitUnread(1);
+            log.release();
+            for (int i = 0; i < asked; i++) {
+                assertNotNull(one.answer(), "closed without answer " + i + " of " + asked);
+            }
+            assertTrue(one.endsInOrder());
+        }
+        server.await();
+    }
+
     /** Guards against a connection that waits to be accepted, its request written, as the notice closes the listener. */
     @Test
     void whoWaitsToBeAcceptedAsTheNoticeComesIsAnswered() throws Exception {
--- a/src/test/java/mothwing/testing/Crossing.java
+++ b/src/test/java/mothwing/testing/Crossing.java
@@ -17,6 +17,7 @@
 public final class Crossing implements AutoCloseable {
     private static final Path SOCKETS = Path.of("/proc/net/tcp");
     private static final Path SOCKETS_6 = Path.of("/proc/net/tcp6");
+    private static final int USUAL_ROOM = 128 << 10;
     private static final int PATIENCE_MS = 60_000; // far beyond any due time: a test that waits so long has failed
 
     private final Gateway gateway = new Gateway.FastCgi();
@@ -24,6 +25,12 @@
 
     /** Connects. */
     public Crossing(InetSocketAddress to) throws IOException {
+        this(to, USUAL_ROOM);
+    }
+
+    /** The same, with so many bytes of room for what it does not read: in a small one answers back up at the server soon. */
+    public Crossing(InetSocketAddress to, int room) throws IOException {
+        socket.setReceiveBufferSize(room);
         socket.setSoTimeout(PATIENCE_MS);
         socket.setTcpNoDelay(true);
         socket.connect(to);
@@ -42,7 +49,16 @@
 
     /** The bytes of a health check. */
     public static byte[] ping(int id) {
-        return new Gateway.FastCgi().request(id, "/ping", "", Map.of(), new byte[0]);
+        return plain(id, "/ping");
+    }
+
+    /** The bytes of a question for the counters, whose answer is many times as long. */
+    public static byte[] counts(int id) {
+        return plain(id, "/counts");
+    }
+
+    private static byte[] plain(int id, String path) {
+        return new Gateway.FastCgi().request(id, path, "", Map.of(), new byte[0]);
     }
 
     /** Waits for the next answer; null where the server ended its side first. */
@@ -72,10 +88,8 @@
 
     /** Waits until so many bytes lie unread in the server's socket, by the kernel's own list. */
     public void awaitUnread(int bytes) throws IOException {
-        String ends = String.format(":%04X", socket.getPort());
-        String peer = String.format(":%04X", socket.getLocalPort());
         long until = System.nanoTime() + PATIENCE_MS * 1_000_000L;
-        while (unread(SOCKETS, ends, peer) < bytes && unread(SOCKETS_6, ends, peer) < bytes) {
+        while (unread() < bytes) {
             if (System.nanoTime() > until) {
                 throw new IOException("the server has read what was to lie unread");
             }
@@ -83,6 +97,13 @@
         }
     }
 
+    /** How many bytes lie unread in the server's socket, by the kernel's own list. */
+    public int unread() throws IOException {
+        String ends = String.format(":%04X", socket.getPort());
+        String peer = String.format(":%04X", socket.getLocalPort());
+        return Math.max(unread(SOCKETS, ends, peer), unread(SOCKETS_6, ends, peer));
+    }
+
     private static int unread(Path list, String local, String remote) throws IOException {
         if (!Files.isReadable(list)) {
             return 0;
