Settings of one deployment no longer speak for another: free value, advice, classes

Read for "one customer's settings reaching another", at the places where a value outlives the settings it was made under.

A free value keeps its number as its meaning changes. BrainTest: after SIGHUP from share_of to threshold nothing is said, "as LEVEL expected: [say 0.0] but was: []", as CallerSignals compared shares (1.0 both times) and not what they stand for. So "all may come" (0.0 as a threshold) stays on every answer as a share, where it means that nobody comes, and with nobody coming the share never changes again. CallerSignals now says it again with its next sample, and Broker.retune puts what "all" means in its place in the same turn. 2. No field is sent now. 3. Refusals of the broker itself (not-ready, table-full, drained) advised MaxRetryAfter also where RetryAfter is off; the module asks for both. One place says now what may be advised. 4. A class that takes the place of a dropped one kept its buckets and what came of it of late, so room was kept for work that another class had brought: BrainTest, "room is kept for what came of this class, and of no other".

Ruled out: figures (by name), places of open requests (Slots), static or cached values (looked for before).

What stays as it is: under share_of a server says 0 until its first sample, 30 ms after the pool has come up; not changed, as it spares a cold one.

--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -208,7 +208,7 @@
         rates = ladder();
     }
 
-    /** Takes settings whole. What was learned or used up stays with its name; buckets fade by themselves. */
+    /** Takes settings whole. What was learned, used up or came of late stays with its name. */
     private void take(Settings to) {
         Settings before = settings;
         settings = to;
@@ -238,6 +238,9 @@
                 pace[i] = paceOfAll;
                 runs[i] = 0;
                 callsPer[i] = kind.calls() ? 1 : 0;
+                for (double[] ofAnother : List.of(tokens, offered, coming)) {
+                    Arrays.fill(ofAnother, 2 * i, 2 * i + 2, 0);
+                }
             }
         }
         int shares = quotaTokens.length;
--- a/src/main/java/mothwing/CallerSignals.java
+++ b/src/main/java/mothwing/CallerSignals.java
@@ -22,6 +22,7 @@
     private double readWork;
     private double refusedWork;
     private double said = -1;
+    private FreeValue saidAs;
     private boolean trimmed;
     private boolean leaving;
     private int reads;
@@ -51,7 +52,7 @@
     /** Says what has changed, once a sample: whether runs fail, cores idle, and how long ago this server started. */
     void sample(boolean failing, boolean idle, long age) {
         refusedWork *= idle ? IDLE_DECAY : 1;
-        say(failing ? LEAST_SHARE : share());
+        say(leaving ? 0 : failing ? LEAST_SHARE : share());
         trimConnections(age);
     }
 
@@ -64,13 +65,12 @@
     }
 
     private void say(double share) {
-        double value = leaving ? 0 : share;
         FreeValue meaning = settings.get().signals().freeValue();
-        if (meaning == FreeValue.NONE || meaning == FreeValue.WINDOW || value == said) {
-            return;
+        if (meaning != FreeValue.NONE && meaning != FreeValue.WINDOW && (share != said || meaning != saidAs)) {
+            said = share;
+            saidAs = meaning;
+            host.say(meaning == FreeValue.LEVEL ? (share >= 1 ? 0 : Math.min(0.95, 1 - share)) : share);
         }
-        said = value;
-        host.say(meaning == FreeValue.LEVEL ? (value >= 1 ? 0 : Math.min(0.95, 1 - value)) : value);
     }
 
     /** Hundreds of callers that come seldom fill the table with idle connections, and others find no room. */
--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import mothwing.OverloadControl.Controller;
+import mothwing.OverloadControl.FreeValue;
 import mothwing.OverloadControl.Halting;
 import mothwing.OverloadControl.Host;
 import mothwing.OverloadControl.Outcome;
@@ -101,7 +103,11 @@
      * @param settings the new settings of the site
      */
     public void retune(Settings settings) {
+        FreeValue meant = told().signals().freeValue();
         inForce.take(settings, open.values());
+        if (told().signals().freeValue() != meant) { // what was said would now be read as something else
+            said = told().signals().freeValue() == FreeValue.SHARE ? 1 : 0;
+        }
         inForce.names().forEach(figures::know);
         if (gauges.length != settings.machine().gauges().size()) {
             gauges = new double[settings.machine().gauges().size()];
@@ -116,6 +122,11 @@
         return inForce.settings();
     }
 
+    /** Microseconds to stay away that a refusal may advise; 0 where the settings have no advice passed on. */
+    private long longestAdvice() {
+        return told().signals().mayAdvise() ? told().signals().longestAdvice() : 0;
+    }
+
     /**
      * Says what to do once the pool is up and requests are taken.
      *
@@ -172,7 +183,7 @@
         counters.add("read");
         counters.add("refused-behind");
         figures.ended(kind, Figures.End.REJECTED);
-        return told().signals().mayAdvise() ? told().signals().longestAdvice() / MILLI : 0;
+        return longestAdvice() / MILLI;
     }
 
     /**
@@ -199,9 +210,9 @@
         } else if (open.containsKey(arrival.id())) {
             fail(exchange, "repeated-trace-id");
         } else if (controller == null) {
-            refuse(exchange, "not-ready", false, told().signals().longestAdvice() / MILLI);
+            refuse(exchange, "not-ready", false, longestAdvice() / MILLI);
         } else if (open.size() >= MOST_OPEN) {
-            refuse(exchange, "table-full", false, told().signals().longestAdvice() / MILLI);
+            refuse(exchange, "table-full", false, longestAdvice() / MILLI);
         } else {
             open.put(arrival.id(), exchange);
             event((to, at) -> {
@@ -310,10 +321,12 @@
     /**
      * The free value that goes out with answers.
      *
-     * @return the value
+     * @return the value, or none where the settings give it no meaning, or one about which the decisions say nothing: callers
+     *     would read a 0 as a window for no request at all
      */
-    public double feedback() {
-        return said;
+    public OptionalDouble feedback() {
+        FreeValue meaning = told().signals().freeValue();
+        return meaning == FreeValue.LEVEL || meaning == FreeValue.SHARE ? OptionalDouble.of(said) : OptionalDouble.empty();
     }
 
     /**
@@ -748,7 +761,7 @@
             fail(one, "ran-before"); // a stop threw its work away: it may have had its effect
             forgetUnlessRunning(one);
         } else if (!drainState.mayRun(one.readAt())) {
-            refuse(one, "drained", false, drainState.advice(told().signals().longestAdvice()) / MILLI);
+            refuse(one, "drained", false, drainState.advice(longestAdvice()) / MILLI);
             open.remove(id);
         } else {
             counters.add("spawned");
--- a/src/main/java/mothwing/net/Reply.java
+++ b/src/main/java/mothwing/net/Reply.java
@@ -91,7 +91,7 @@
 
     private void answer(int status, List<String[]> more, byte[] content) {
         List<String[]> fields = new ArrayList<>(more);
-        fields.add(Headers.feedback(broker.feedback()));
+        broker.feedback().ifPresent(value -> fields.add(Headers.feedback(value)));
         fields.add(new String[] {"Content-Type", "application/octet-stream"});
         fields.add(new String[] {"Content-Length", Integer.toString(content.length)});
         write(status, fields, content);
--- a/src/test/java/mothwing/BrainTest.java
+++ b/src/test/java/mothwing/BrainTest.java
@@ -19,6 +19,7 @@
 import mothwing.OverloadControl.Settings;
 import mothwing.OverloadControl.Signals;
 import mothwing.OverloadControl.Tenant;
+import mothwing.testing.Altered;
 import org.junit.jupiter.api.Test;
 
 /** Drives the module with scripted events; the host asserts the four rules on every sequence. */
@@ -48,9 +49,7 @@
     }
 
     private static Settings withClasses(Settings base, List<RequestClass> kinds) {
-        return new Settings(base.seed(), base.round(), kinds, base.tenants(), base.replicas(), base.callers(),
-                base.worthByWork(), base.overShareWorth(), base.freshFor(), base.goal(), base.rules(),
-                base.dependency(), base.machine(), base.signals());
+        return Altered.parts(base, kinds, base.tenants());
     }
 
     private static RecordingHost host() {
@@ -789,14 +788,46 @@
                 host.finish("spent" + i, Outcome.GOOD);
             }
             Settings base = host.settings();
-            host.retune(new Settings(base.seed(), base.round(), base.classes(),
-                    List.of(new Tenant(same ? "one" : "three", 100), new Tenant("two", 100)), base.replicas(), base.callers(),
-                    base.worthByWork(), base.overShareWorth(), base.freshFor(), base.goal(), base.rules(),
-                    base.dependency(), base.machine(), base.signals()));
+            host.retune(Altered.parts(base, base.classes(),
+                    List.of(new Tenant(same ? "one" : "three", 100), new Tenant("two", 100))));
             host.read(of(host, "busy1", 1), of(host, "busy2", 1));
             host.read(of(host, "first", 0), of(host, "second", 1));
             host.finish("busy1", Outcome.GOOD);
             assertTrue(host.did(same ? "start second" : "start first"), "a debt is its maker's, and only its");
         }
     }
+
+    /** Guards against a value that callers read as something else once the settings give it another meaning. */
+    @Test
+    void theFreeValueIsSaidAgainOnceItMeansSomethingElse() {
+        RecordingHost host = host();
+        for (FreeValue meaning : List.of(FreeValue.SHARE, FreeValue.LEVEL, FreeValue.WINDOW, FreeValue.SHARE, FreeValue.NONE)) {
+            host.retune(Altered.meaning(host.settings(), meaning));
+            int before = host.actions.size();
+            host.passUntil(host.now() + SECOND / 5);
+            List<String> says = host.actions.subList(before, host.actions.size()).stream().filter(one -> one.startsWith("say ")).toList();
+            assertEquals(meaning == FreeValue.SHARE ? List.of("say 1.0") : meaning == FreeValue.LEVEL ? List.of("say 0.0") : List.of(),
+                    says, () -> "as " + meaning);
+        }
+    }
+
+    /** Guards against a class that comes by new settings and has room kept for what came of the one at its place before. */
+    @Test
+    void aClassThatTakesThePlaceOfAnotherDoesNotInheritWhatCameOfIt() {
+        for (boolean same : new boolean[] {true, false}) {
+            RecordingHost host = host();
+            host.gauges(0.9, 2);
+            fillCores(host);
+            host.read(request(host, "held1", SAVE), request(host, "held2", SAVE), request(host, "held3", SAVE));
+            host.passUntil(START + SECOND / 5);
+            for (int i = 0; i < 30; i++) {
+                host.read(request(host, "came" + i, READ));
+            }
+            List<RequestClass> kinds = new ArrayList<>(host.settings().classes());
+            kinds.set(READ, new RequestClass(same ? "read" : "other", SECOND, 4 * SECOND, 100, 0.2, Repeats.SAFE, 0, true, 0));
+            host.retune(withClasses(host.settings(), kinds));
+            host.read(request(host, "next", SAVE));
+            assertEquals(same, host.answered("next"), "room is kept for what came of this class, and of no other");
+        }
+    }
 }
--- a/src/test/java/mothwing/broker/BrokerTest.java
+++ b/src/test/java/mothwing/broker/BrokerTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import mothwing.OverloadControl.Controller;
 import mothwing.OverloadControl.Outcome;
 import mothwing.OverloadControl.Repeats;
@@ -14,6 +15,7 @@
 import mothwing.OverloadControl.Settings;
 import mothwing.lab.Gateway;
 import mothwing.lab.Stand;
+import mothwing.testing.Altered;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -274,8 +276,7 @@
 
     private static Settings with(RequestClass... classes) {
         Settings one = Stand.settings(4.5, 2);
-        return new Settings(7, 2_000, List.of(classes), one.tenants(), 10, 3, false, 0.05, 0, one.goal(), one.rules(),
-                one.dependency(), one.machine(), one.signals());
+        return Altered.parts(one, List.of(classes), one.tenants());
     }
 
     /** Guards against open requests that are renumbered or lost as classes come and go, and against lost counts. */
@@ -308,6 +309,24 @@
                 stand.broker.figures().toString());
     }
 
+    /** Guards against advice to stay away where the settings have none passed on, at whatever point a request is refused. */
+    @Test
+    void adviceToStayAwayLeavesOnlyWhereTheSettingsAllowIt() {
+        for (boolean may : new boolean[] {true, false}) {
+            stand = new Stand(decisions);
+            stand.broker.retune(Altered.advice(Stand.settings(4.5, 2), may));
+            ask(1, Stand.LOOK); // not ready
+            stand.bound();
+            stand.broker.drain(stand.now(), stand.now() + 9 * SECOND, false);
+            stand.pass(3 * SECOND);
+            ask(2, Stand.LOOK);
+            stand.broker.start(Stand.id(2)); // read over 2 s after the notice
+            String refused = "refused false " + (may ? 1000 : 0);
+            assertEquals(List.of(refused, refused), answers);
+            answers.clear();
+        }
+    }
+
     /** Guards against words that keep gateways away from the process that follows at the same address. */
     @Test
     void handingOverRunsWhatStillComesAndSaysNothingAgainstTheNextProcess() {
@@ -331,7 +350,7 @@
         stand.broker.start(Stand.id(3)); // over 2 s after the notice: whatever the controller says
         assertEquals(List.of("served", "refused false 0", "refused false 0"), answers);
         assertEquals(List.of(true), good);
-        assertEquals(0.25, stand.broker.feedback());
+        assertEquals(OptionalDouble.of(0.25), stand.broker.feedback());
     }
 
     /** Guards against a clock of the controller that stops with the link: timers fire with the last gauges. */
--- a/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
+++ b/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
@@ -8,9 +8,12 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import mothwing.testing.FrontModel;
+import mothwing.OverloadControl.FreeValue;
+import mothwing.OverloadControl.Settings;
 import mothwing.lab.Gateway;
 import mothwing.lab.Stand;
+import mothwing.testing.Altered;
+import mothwing.testing.FrontModel;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -35,6 +38,27 @@
         return model.gateway.answers.remove().status();
     }
 
+    private String feedback() {
+        model.send(model.gateway.request(1, "/ping", "", Map.of(), new byte[0]));
+        return model.gateway.answers.remove().fields().get("Feedback");
+    }
+
+    /** Guards against a free value that callers read as something else, or read at all where nothing is to be said. */
+    @Example
+    void theFreeValueLeavesAsTheSettingsInForceMeanIt() {
+        Settings level = Stand.settings(4.5, 2);
+        for (FreeValue meaning : FreeValue.values()) {
+            String all = meaning == FreeValue.LEVEL ? "0.0" : meaning == FreeValue.SHARE ? "1.0" : null;
+            for (Settings now : List.of(Altered.meaning(level, meaning), level)) {
+                model.stand.broker.retune(now);
+                for (long span : new long[] {0, 200_000}) { // in the same turn, and once the decisions have spoken
+                    model.stand.pass(span);
+                    assertEquals(now == level ? "0.0" : all, feedback(), () -> "as " + meaning);
+                }
+            }
+        }
+    }
+
     @Property(seed = "1764576000")
     void keepsToTheModel(@ForAll @Size(min = 20, max = 150) List<@IntRange(max = 99_999) Integer> steps) {
         for (int step : steps) {
--- a/src/test/java/mothwing/net/InterleavingsTest.java
+++ b/src/test/java/mothwing/net/InterleavingsTest.java
@@ -24,6 +24,7 @@
 import mothwing.lab.Answer;
 import mothwing.lab.Gateway;
 import mothwing.lab.Stand;
+import mothwing.testing.Altered;
 import mothwing.testing.Undecided;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -285,9 +286,7 @@
 
     private static Settings settings(int step) {
         Settings one = Stand.settings(step % 2 == 0 ? 3 : LONGEST / SECOND, 2);
-        return step % 5 > 0 ? one : new Settings(one.seed(), one.round(), one.classes().subList(1, 2), one.tenants(),
-                one.replicas(), one.callers(), one.worthByWork(), one.overShareWorth(), one.freshFor(), one.goal(),
-                one.rules(), one.dependency(), one.machine(), one.signals());
+        return step % 5 > 0 ? one : Altered.parts(one, one.classes().subList(1, 2), one.tenants());
     }
 
     private void pass(long span) {
--- a/src/test/java/mothwing/server/CrossingTest.java
+++ b/src/test/java/mothwing/server/CrossingTest.java
@@ -15,12 +15,12 @@
 import java.util.List;
 import mothwing.OverloadControl.RequestClass;
 import mothwing.OverloadControl.Settings;
-import mothwing.OverloadControl.Signals;
 import mothwing.OverloadControl.Tenant;
 import mothwing.lab.Answer;
 import mothwing.lab.Gateway;
 import mothwing.lab.Stand;
 import mothwing.lab.StandInPool;
+import mothwing.testing.Altered;
 import mothwing.testing.Crossing;
 import mothwing.testing.HeldLog;
 import mothwing.testing.Loopback;
@@ -77,14 +77,6 @@
         log.awaitHeld();
     }
 
-    private static Settings idle(long span) {
-        Settings one = Stand.settings(60, 2);
-        Signals by = one.signals();
-        return new Settings(one.seed(), one.round(), one.classes(), one.tenants(), one.replicas(), one.callers(),
-                one.worthByWork(), one.overShareWorth(), one.freshFor(), one.goal(), one.rules(), one.dependency(),
-                one.machine(), new Signals(by.freeValue(), by.heardFor(), by.mayAdvise(), by.longestAdvice(), by.goneNotices(), span));
-    }
-
     @AfterEach
     void stop() throws IOException {
         server.close();
@@ -219,7 +211,7 @@
         try (Crossing one = resting(); Crossing other = resting()) {
             byte[] request = Crossing.request(2, Stand.LOOK, Stand.id(2));
             holdAt("reload-failed", () -> server.reloadFailed("the test holds the loop"));
-            server.reload(config(idle(1), 256));
+            server.reload(config(Altered.idle(Stand.settings(60, 2), 1), 256));
             one.send(request);
             one.awaitUnread(request.length);
             log.release();
@@ -301,9 +293,7 @@
             holdAt("drain ", server::drain);
             Settings had = Stand.settings(60, 2);
             RequestClass other = new RequestClass("other", 1, 1_000, 1, 0, had.classes().get(0).repeats(), 0, false, 0);
-            server.reload(config(new Settings(had.seed(), had.round(), List.of(other), List.of(new Tenant("two", 1)),
-                    had.replicas(), had.callers(), had.worthByWork(), had.overShareWorth(), had.freshFor(), had.goal(),
-                    had.rules(), had.dependency(), had.machine(), had.signals()), 256));
+            server.reload(config(Altered.parts(had, List.of(other), List.of(new Tenant("two", 1))), 256));
             log.release();
             log.awaitLine("reload ");
             pool.release();
