Run a guarded request once in its window: repeats are known by their Replay-Key

Ruled out: the module, which replays repeats on the simulator; Broker threw at that.

Change: mothwing.broker.IdempotencyKeys, pure, keeps which try stands for a key of a tenant and class, whether its run was begun, how it ended and what it made. A request that is given to the decisions names the try that it repeats, as on the simulator, and remember, forget and replay do what they say there. Broker.start asks the table itself: no decision runs a repeat. Entries outlive the window by 10 s for what is read late; 4,096 of them and 6 MiB of results at most, beyond which a request with a new key is refused. A key with another body fails. The module is told that an entry takes no booked memory, as it lies in this process.

BrokerTest fails with a table that finds nothing. Not reached: the two processes of an upgrade do not share their keys, and a repeat whose first try was stopped as its caller left fails for the rest of the window, as on the simulator.

--- a/src/main/java/mothwing/broker/Arrival.java
+++ b/src/main/java/mothwing/broker/Arrival.java
@@ -13,10 +13,13 @@
  * @param reserveKb memory booked for it while it is held
  * @param rank its rank, from 0 to under 1
  * @param subject what a read is about, or null
+ * @param idempotencyKey what all tries of a guarded request have in common, or null
  * @param body the body as it came
  */
 public record Arrival(String id, long acceptedAtMs, String tenant, String kind, double reserveKb,
-        double rank, String subject, byte[] body) {
+        double rank, String subject, String idempotencyKey, byte[] body) {
+    /** Most characters of an idempotency key. */
+    public static final int MOST_KEY = 128;
     /** Most bytes of a body. */
     public static final int MOST_BODY = 2048;
     /** What stands before the name of a class in the path. */
@@ -46,6 +49,7 @@
         private String reserve = "";
         private String rank = "";
         private String subject;
+        private String idempotencyKey;
 
         /**
          * Takes one field.
@@ -62,6 +66,7 @@
                 case "reserve-kb" -> reserve = value;
                 case "standing" -> rank = value;
                 case "lookup-key" -> subject = value;
+                case "replay-key" -> idempotencyKey = value;
                 default -> { }
             }
         }
@@ -95,8 +100,11 @@
             if (!(standing < 1)) {
                 throw new Bad("bad-standing");
             }
+            if (idempotencyKey != null && (idempotencyKey.isEmpty() || idempotencyKey.length() > MOST_KEY)) {
+                throw new Bad("bad-replay-key");
+            }
             return new Arrival(id, Long.parseLong(accepted), tenant, path.substring(PATH.length()), kb,
-                    standing, subject, body);
+                    standing, subject, idempotencyKey, body);
         }
 
         private static double number(String text, String code) throws Bad {
--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -59,6 +59,8 @@
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, String> ticks = new LinkedHashMap<>();
     private final Map<String, Check> checks = new LinkedHashMap<>();
+    private final IdempotencyKeys keys = new IdempotencyKeys();
+    private final Map<String, IdempotencyKeys.Entry> replays = new LinkedHashMap<>(); // by the repeat's id
     private Controller controller;
     private double[] gauges;
     private boolean batchAsked;
@@ -200,7 +202,8 @@
         RequestClass kind = inForce.known(arrival.kind());
         Exchange exchange = new Exchange(arrival, caller, kind != null && kind.repeats() == Repeats.SAFE, now, now - unread,
                 now - unread + (kind == null ? 0 : kind.deadline()), inForce.classPlace(arrival.kind()),
-                inForce.tenantPlace(arrival.tenant()));
+                inForce.tenantPlace(arrival.tenant()),
+                kind != null && kind.repeats() == Repeats.GUARDED && arrival.idempotencyKey() != null ? kind.window() : 0);
         if (kind == null) {
             fail(exchange, "unknown-class");
         } else if (!inForce.knowsTenant(arrival.tenant())) {
@@ -213,18 +216,32 @@
             refuse(exchange, "not-ready", false, longestAdvice() / MILLI);
         } else if (open.size() >= MOST_OPEN) {
             refuse(exchange, "table-full", false, longestAdvice() / MILLI);
+        } else if (!keys.room(exchange)) {
+            refuse(exchange, "keys-full", false, longestAdvice() / MILLI);
         } else {
             open.put(arrival.id(), exchange);
-            event((to, at) -> {
-                exchange.held();
-                to.read(at, new Request(arrival.id(), exchange.classPlace(), exchange.tenantPlace(), 0,
-                        at - exchange.arrivedAt(), arrival.subject(), arrival.reserveKb(), null, arrival.rank(),
-                        0, !exchange.repeatable()));
-            });
+            event((to, at) -> give(exchange, to, at));
         }
         return exchange;
     }
 
+    /** Which try it repeats is asked only now: those read before it in this round have been decided. */
+    private void give(Exchange one, Controller to, long at) {
+        Arrival arrival = one.arrival();
+        IdempotencyKeys.Entry before = keys.repeated(one);
+        if (before != null && !before.sameBody(one)) {
+            fail(one, "key-of-another");
+            forgetUnlessRunning(one);
+            return;
+        }
+        if (before != null) {
+            counters.add("repeats");
+        }
+        one.held();
+        to.read(at, new Request(arrival.id(), one.classPlace(), one.tenantPlace(), 0, at - one.arrivedAt(), arrival.subject(),
+                arrival.reserveKb(), before == null ? null : before.id(), arrival.rank(), 0, !one.repeatable()));
+    }
+
     /**
      * The caller of a request has left.
      *
@@ -520,6 +537,9 @@
         } else {
             one.left();
         }
+        if (!one.inPool()) {
+            keys.ended(one, outcome, result);
+        }
         if (outcome == Outcome.GOOD) {
             served(one, result);
         } else if (outcome != Outcome.STOPPED) {
@@ -529,6 +549,7 @@
             open.remove(id);
         }
         event((to, at) -> to.finished(at, id, outcome, took));
+        settleReplays();
     }
 
     /**
@@ -697,6 +718,8 @@
         if (due) {
             event((to, at) -> { });
         }
+        settleReplays();
+        keys.expire(now);
         for (Map.Entry<String, Check> one : new ArrayList<>(checks.entrySet())) {
             if (now >= one.getValue().until()) {
                 verified(one.getKey(), false);
@@ -741,6 +764,7 @@
     }
 
     private void handOver(Exchange one) {
+        keys.begins(one);
         if (one.started(polls, workers.spawn(one))) {
             figures.handedOver(one.arrival().kind());
         }
@@ -760,6 +784,9 @@
         } else if (one.ran() && !one.repeatable()) {
             fail(one, "ran-before"); // a stop threw its work away: it may have had its effect
             forgetUnlessRunning(one);
+        } else if (keys.ranBefore(one)) {
+            fail(one, "ran-before"); // whatever the controller says: a repeat is answered from the run there was
+            open.remove(id);
         } else if (!drainState.mayRun(one.readAt())) {
             refuse(one, "drained", false, drainState.advice(longestAdvice()) / MILLI);
             open.remove(id);
@@ -870,20 +897,56 @@
         }
     }
 
-    // The platform's protocol carries no marks of repeats, so no event leads to these.
-
     @Override
     public void remember(String id, long span) {
-        throw new UnsupportedOperationException("remember");
+        Exchange one = open.get(id);
+        if (one != null) {
+            keys.keep(one, timers.now() + span);
+        }
     }
 
     @Override
     public void forget(String id) {
-        throw new UnsupportedOperationException("forget");
+        Exchange one = open.get(id);
+        if (one != null) {
+            keys.forget(one);
+        }
     }
 
     @Override
     public void replay(String id) {
-        throw new UnsupportedOperationException("replay");
+        Exchange one = open.get(id);
+        IdempotencyKeys.Entry before = one == null || !one.owed() ? null : keys.repeated(one);
+        if (before != null) {
+            replays.put(id, before);
+            settleReplays();
+        }
+    }
+
+    /** Answers repeats whose run is over; those of a try that never ran are refused, as nothing of it ran here. */
+    private void settleReplays() {
+        for (Map.Entry<String, IdempotencyKeys.Entry> each : new ArrayList<>(replays.entrySet())) {
+            IdempotencyKeys.Entry before = each.getValue();
+            Exchange one = open.get(each.getKey());
+            if (one != null && one.owed() && before.pending()) {
+                continue;
+            }
+            replays.remove(each.getKey());
+            if (one == null || !one.owed()) {
+                continue;
+            }
+            counters.add("replayed");
+            boolean good = before.result() != null;
+            if (good) {
+                served(one, before.result());
+            } else if (before.begun()) {
+                fail(one, "replayed-failure");
+            } else {
+                refuse(one, "replayed-nothing", false, 0);
+            }
+            String id = each.getKey();
+            open.remove(id);
+            event((to, at) -> to.finished(at, id, good ? Outcome.GOOD : Outcome.FAILED, 0));
+        }
     }
 }
--- a/src/main/java/mothwing/broker/Exchange.java
+++ b/src/main/java/mothwing/broker/Exchange.java
@@ -31,6 +31,8 @@
     private final long dueAt;
     private final int classPlace;
     private final int tenantPlace;
+    private final long window;
+    private IdempotencyKeys.Entry entry;
     private State state = State.READ;
     private boolean ran;
     private boolean inPool;
@@ -47,7 +49,7 @@
     private long callUntil;
 
     Exchange(Arrival arrival, Caller caller, boolean repeatable, long readAt, long arrivedAt, long dueAt,
-            int classPlace, int tenantPlace) {
+            int classPlace, int tenantPlace, long window) {
         this.arrival = arrival;
         this.caller = caller;
         this.repeatable = repeatable;
@@ -56,6 +58,7 @@
         this.dueAt = dueAt;
         this.classPlace = classPlace;
         this.tenantPlace = tenantPlace;
+        this.window = window;
     }
 
     /**
@@ -107,6 +110,25 @@
         return readAt;
     }
 
+    /** Microseconds from its arrival in which a repeat of it may come; 0 where none is known as such. */
+    long window() {
+        return window;
+    }
+
+    /** Its entry among the idempotency keys, or null. */
+    IdempotencyKeys.Entry entry() {
+        return entry;
+    }
+
+    void entry(IdempotencyKeys.Entry made) {
+        entry = made;
+    }
+
+    /** Whether it has an idempotency key that counts. */
+    boolean guarded() {
+        return window > 0;
+    }
+
     long arrivedAt() {
         return arrivedAt;
     }
--- a/src/main/java/mothwing/broker/InForce.java
+++ b/src/main/java/mothwing/broker/InForce.java
@@ -27,15 +27,6 @@
         take(told, Set.of());
     }
 
-    /**
-     * No mark tells that a request repeats another, so each try of a guarded class is one that runs at most once: what may
-     * have run is never run again here, never refused, and its caller is told that it failed.
-     */
-    private static RequestClass read(RequestClass one) {
-        return one.repeats() != Repeats.GUARDED ? one : new RequestClass(one.name(), one.aim(), one.deadline(), one.worth(),
-                one.lateWorth(), Repeats.SINGLE_SHOT, one.window(), one.calls(), one.skipWorth());
-    }
-
     /** Takes new settings; what is open goes on under the class that it was read under. */
     void take(Settings told, Collection<Exchange> open) {
         BitSet classesUsed = new BitSet();
@@ -44,7 +35,7 @@
             classesUsed.set(one.classPlace()); // what is open has one
             tenantsUsed.set(one.tenantPlace() + 1); // 0 stands for none
         }
-        classes.take(told.classes().stream().map(InForce::read).toList(), classesUsed::get);
+        classes.take(told.classes(), classesUsed::get);
         tenants.take(told.tenants(), place -> tenantsUsed.get(place + 1));
         settings = placed(told);
     }
@@ -57,7 +48,7 @@
 
     private Settings placed(Settings told) {
         Machine one = told.machine();
-        Machine machine = new Machine(one.cores(), one.memory(), one.runFactor(), one.entryMemory(), cold,
+        Machine machine = new Machine(one.cores(), one.memory(), one.runFactor(), 0, cold,
                 one.gauges(), one.halting());
         return new Settings(told.seed(), told.round(), classes.all(), tenants.all(), told.replicas(), told.callers(),
                 told.worthByWork(), told.overShareWorth(), told.freshFor(), told.goal(), told.rules(),
--- a/src/test/java/mothwing/broker/BrokerTest.java
+++ b/src/test/java/mothwing/broker/BrokerTest.java
@@ -7,12 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import mothwing.OverloadControl.Controller;
 import mothwing.OverloadControl.Outcome;
 import mothwing.OverloadControl.Repeats;
 import mothwing.OverloadControl.Request;
 import mothwing.OverloadControl.RequestClass;
 import mothwing.OverloadControl.Settings;
+import mothwing.OverloadControl.Tenant;
 import mothwing.lab.Gateway;
 import mothwing.lab.Stand;
 import mothwing.testing.Altered;
@@ -439,6 +441,104 @@
         assertEquals(List.of("refused false 1000"), answers);
     }
 
+    private void guarded(Controller by) {
+        stand = by == null ? new Stand() : new Stand(by);
+        stand.broker.retune(Altered.parts(Stand.settings(4.5, 2), List.of(new RequestClass("save", SECOND, 4 * SECOND, 1, 0,
+                Repeats.GUARDED, 5 * SECOND, false, 0)), List.of(new Tenant("one", 1e6), new Tenant("two", 1e6))));
+        answers.clear();
+        stand.bound();
+    }
+
+    /** A try of a guarded request; some body stands for each number. */
+    private Exchange guarded(int number, String key, int body, String tenant) {
+        return stand.broker.read(new Arrival(Stand.id(number), stand.wallMs(), tenant, "save", 10, 0.5, null, key,
+                new byte[] {(byte) body}), caller());
+    }
+
+    private Exchange guarded(int number) {
+        Exchange one = guarded(number, "k", 0, "one");
+        stand.pass(10_000);
+        return one;
+    }
+
+    /** Guards against a second run of what another try of the same request has begun, whenever the repeat comes. */
+    @Test
+    void aRepeatOfAGuardedRequestIsAnsweredFromTheRunThereWas() {
+        guarded(null);
+        guarded(1);
+        guarded(2); // as the first runs
+        stand.finish(Stand.id(1), Outcome.GOOD);
+        guarded(3); // once it has ended
+        stand.pass(10_000);
+        assertEquals(List.of("served", "served", "served"), answers);
+        stand.pass(5 * SECOND - 300_000); // the window goes by the arrival of the try that was run
+        guarded(4);
+        assertEquals(Map.of(Stand.id(1), 1), stand.spawns);
+        assertEquals(4, answers.size());
+        stand.pass(SECOND);
+        guarded(5);
+        assertEquals(Map.of(Stand.id(1), 1, Stand.id(5), 1), stand.spawns);
+        stand.finish(Stand.id(5), Outcome.FAILED);
+        guarded(6);
+        assertEquals(List.of("failed crashed", "failed replayed-failure"), answers.subList(4, 6));
+        stand.pass(20 * SECOND);
+        assertTrue(stand.broker.counts().startsWith("in_hand=0 owed=0 "), stand.broker.counts());
+    }
+
+    /** Guards against a result that goes to a request of another tenant, or of another body, and a key that blocks for nothing. */
+    @Test
+    void aKeyStandsForOneRequestOfOneTenantAndOnlyWhileItMayHaveRun() {
+        guarded(null);
+        guarded(1);
+        guarded(2, "k", 1, "one");
+        guarded(3, "k", 1, "two");
+        stand.pass(10_000);
+        assertEquals(List.of("failed key-of-another"), answers);
+        stand.finish(Stand.id(1), Outcome.GOOD);
+        stand.broker.gone(guarded(4, "other", 0, "one")); // gone in the round that it was read in: it never ran
+        guarded(5, "other", 0, "one");
+        stand.pass(10_000);
+        assertEquals(Set.of(Stand.id(1), Stand.id(3), Stand.id(5)), stand.spawns.keySet());
+    }
+
+    /** Guards against a caller that leaves as its run goes on: the repeat gets what that made. */
+    @Test
+    void aRepeatAfterItsCallerLeftGetsTheResult() {
+        guarded(decisions);
+        Exchange first = guarded(1);
+        stand.broker.start(Stand.id(1));
+        stand.broker.gone(first);
+        guarded(2);
+        stand.broker.replay(Stand.id(2));
+        stand.finish(Stand.id(1), Outcome.GOOD);
+        assertEquals(List.of("served"), answers);
+        assertEquals(Map.of(Stand.id(1), 1), stand.spawns);
+    }
+
+    /** Guards against decisions that start a repeat all the same, and against a table without an end. */
+    @Test
+    void noDecisionRunsARepeatAndWhatFindsNoRoomIsRefused() {
+        guarded(decisions);
+        guarded(1);
+        stand.broker.start(Stand.id(1));
+        guarded(2);
+        stand.broker.start(Stand.id(2));
+        assertEquals(List.of("failed ran-before"), answers);
+        stand.finish(Stand.id(1), Outcome.GOOD);
+        for (int i = 3; i < 2_000; i++) {
+            guarded(i, "k" + i, 0, "one");
+            stand.broker.start(Stand.id(i));
+        }
+        assertTrue(answers.contains("refused false 1000"), answers::toString);
+        assertTrue(stand.spawns.values().stream().allMatch(times -> times == 1));
+        stand.spawns.keySet().forEach(id -> stand.broker.finished(id, Outcome.FAILED, 0, null));
+        stand.pass(40 * SECOND);
+        answers.clear();
+        guarded(2_000);
+        stand.broker.start(Stand.id(2_000));
+        assertEquals(List.of(), answers, "there is room again");
+    }
+
     /** Guards against repeats that nothing marks as such: a try that may have run is neither run again nor refused. */
     @Test
     void aGuardedClassRunsAtMostOnceATry() {
