Draw tries with one idempotency key into the interleavings

Need: the repeats of a guarded request cross the end of its run, its window, aborts, resets, lost links, new settings and the way out, in more orders than the tests of the broker write down.

Change: a quarter of what is drawn is a try of a guarded class, with one of three keys and a window of 2 s. Two tries with one key whose stated arrivals lie within it must not both run, with the module's decisions and with decisions that start all; what is served is what a run of the same key made.

Four faults planted one at a time are seen: a table that finds nothing, a broker that does not ask it, entries that fall as their run ends ("ran, and so did another try of it", each), one entry for all keys ("is given what no run made for it").

--- a/src/test/java/mothwing/net/InterleavingsTest.java
+++ b/src/test/java/mothwing/net/InterleavingsTest.java
@@ -16,7 +16,9 @@
 import mothwing.Brain;
 import mothwing.OverloadControl.Host;
 import mothwing.OverloadControl.Outcome;
+import mothwing.OverloadControl.Repeats;
 import mothwing.OverloadControl.Request;
+import mothwing.OverloadControl.RequestClass;
 import mothwing.OverloadControl.Settings;
 import mothwing.broker.Exchange;
 import mothwing.broker.Workers;
@@ -33,7 +35,8 @@
 
 /**
  * Bytes, answers, aborts, resets, the idle limit, new settings, the notice to leave, and links to the pool that are lost with
- * what was on them, in any order: each request that was read whole gets one final answer, and what must run once runs once.
+ * what was on them, in any order: each request that was read whole gets one final answer, and what must run once runs once, whichever
+ * of its tries that is.
  */
 class InterleavingsTest {
     private static final long SECOND = 1_000_000;
@@ -42,6 +45,8 @@
     private static final long LONGEST = 6 * SECOND;
     private static final long STOP = 3_200_000;
     private static final long GRACE = 2 * SECOND;
+    private static final long WINDOW = 2 * SECOND;
+    private static final String GUARDED = "deposit";
 
     /** A pool with a link whose commands and notices may be lost with it. */
     private final class ModelPool implements Workers {
@@ -154,15 +159,18 @@
     private static final class Asked {
         final String id;
         final boolean order;
+        final String key; // what it has in common with other tries of the same request, or null
         final byte[] bytes;
         int sent;
+        long begunAt; // which it states as its arrival
         long wholeAt = Long.MAX_VALUE;
         boolean left;
         int answers;
 
-        Asked(String id, boolean order, byte[] bytes) {
+        Asked(String id, boolean order, String key, byte[] bytes) {
             this.id = id;
             this.order = order;
+            this.key = key;
             this.bytes = bytes;
         }
     }
@@ -203,10 +211,16 @@
             }
             if (writing == 0) {
                 boolean order = step % 2 == 0;
+                String key = step % 4 == 0 ? "key" + step / 4 % 3 : null;
                 String id = Stand.id(++made);
                 writing = ++numbers;
-                asked.put(writing, new Asked(id, order, gateway.request(writing, "/call/" + (order ? Stand.ORDER : Stand.LOOK), "",
-                        Gateway.fields(id, stand.wallMs()), new byte[step % 100])));
+                Map<String, String> fields = Gateway.fields(id, stand.wallMs());
+                if (key != null) {
+                    fields.put("Replay-Key", key);
+                }
+                asked.put(writing, new Asked(id, order, key, gateway.request(writing, "/call/" + (key != null ? GUARDED : order ? Stand.ORDER
+                        : Stand.LOOK), "", fields, new byte[key != null ? 1 : step % 100])));
+                asked.get(writing).begunAt = stand.now();
                 all.add(asked.get(writing));
             }
             Asked one = asked.get(writing);
@@ -233,13 +247,16 @@
             Answer answer;
             while ((answer = gateway.answers.poll()) != null) {
                 Asked one = asked.get(answer.id());
+                String content = new String(answer.content());
                 assertNotNull(one, "an answer to nothing");
                 one.answers++;
                 assertEquals(1, one.answers, one.id + " is answered twice");
                 assertTrue(one.wholeAt <= stand.now(), one.id + " is answered before it was sent whole");
                 assertTrue(answer.status() != 503 || !one.order || !pool.runs.containsKey(one.id), one.id + " ran and is refused");
                 if (answer.status() == 200) {
-                    assertEquals(new String(Stand.result(one.id)), new String(answer.content()));
+                    assertTrue(all.stream().filter(by -> by == one || by.key != null && by.key.equals(one.key)).anyMatch(
+                            by -> pool.runs.containsKey(by.id) && new String(Stand.result(by.id)).equals(content)),
+                            one.id + " is given what no run made for it");
                 }
             }
         }
@@ -273,6 +290,7 @@
         pool = new ModelPool();
         ranAt = new HashMap<>();
         stand = new Stand(eager ? (settings, host) -> new Eager(host) : Brain::new, of -> pool).bound();
+        stand.broker.retune(guarded(Stand.settings(4.5, 2)));
         table = new ConnectionTable(60 * SECOND, stand);
         all = new ArrayList<>();
         made = 0;
@@ -284,9 +302,15 @@
         }
     }
 
+    private static Settings guarded(Settings one) {
+        List<RequestClass> kinds = new ArrayList<>(one.classes());
+        kinds.add(new RequestClass(GUARDED, SECOND, 3 * SECOND, 4, 0, Repeats.GUARDED, WINDOW, false, 0));
+        return Altered.parts(one, kinds, one.tenants());
+    }
+
     private static Settings settings(int step) {
-        Settings one = Stand.settings(step % 2 == 0 ? 3 : LONGEST / SECOND, 2);
-        return step % 5 > 0 ? one : Altered.parts(one, one.classes().subList(1, 2), one.tenants());
+        Settings one = guarded(Stand.settings(step % 2 == 0 ? 3 : LONGEST / SECOND, 2));
+        return step % 5 > 0 ? one : Altered.parts(one, one.classes().subList(1, 3), one.tenants());
     }
 
     private void pass(long span) {
@@ -304,6 +328,8 @@
             assertTrue(one.answers > 0 || one.left || one.wholeAt > stand.now() - LONGEST - SLACK || one.wholeAt == Long.MAX_VALUE,
                     one.id + " is overdue");
             assertTrue(!one.order || pool.runs.getOrDefault(one.id, 0) <= 1, one.id + " ran twice");
+            assertTrue(one.key == null || !pool.runs.containsKey(one.id) || all.stream().noneMatch(by -> by != one && one.key.equals(by.key)
+                    && pool.runs.containsKey(by.id) && Math.abs(by.begunAt - one.begunAt) < WINDOW), one.id + " ran, and so did another try of it");
             assertTrue(!leaving || ranAt.getOrDefault(one.id, 0L) < one.wholeAt || one.wholeAt <= noticeAt + GRACE,
                     one.id + " came after the grace and ran");
         }
