--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -438,10 +438,7 @@
     }
 
     private double left(Job job) {
-        if (job.state == State.REPLAYING) {
-            return 0;
-        }
-        double guess = expected(job);
+        double guess = job.state == State.REPLAYING ? 0 : expected(job);
         return Math.max(guess - used(job), guess * LEFT_AT_LEAST);
     }
 
