Answer a request by when its caller gives up, where it tells that

Ruled out: the watch over due times and the module, which takes a given time for due since ever.

Change: a request is due so long after it came to the machine, but no later than its class has it, as a client waits no longer in all. A field that is no whole number is answered with 400 and its code.

BrokerTest fails where the class's deadline is taken. Where the field is not carried nothing changes.

--- a/src/main/java/mothwing/broker/Arrival.java
+++ b/src/main/java/mothwing/broker/Arrival.java
@@ -14,10 +14,13 @@
  * @param rank its rank, from 0 to under 1
  * @param subject what a read is about, or null
  * @param idempotencyKey what all tries of a guarded request have in common, or null
+ * @param waitMs how long its caller waits from when it came to the machine, in milliseconds, or {@link #NOT_TOLD}
  * @param body the body as it came
  */
 public record Arrival(String id, long acceptedAtMs, String tenant, String kind, double reserveKb,
-        double rank, String subject, String idempotencyKey, byte[] body) {
+        double rank, String subject, String idempotencyKey, long waitMs, byte[] body) {
+    /** Where a request does not tell how long its caller waits. */
+    public static final long NOT_TOLD = -1;
     /** Most characters of an idempotency key. */
     public static final int MOST_KEY = 128;
     /** Most bytes of a body. */
@@ -50,6 +53,7 @@
         private String rank = "";
         private String subject;
         private String idempotencyKey;
+        private String wait;
 
         /**
          * Takes one field.
@@ -67,6 +71,7 @@
                 case "standing" -> rank = value;
                 case "lookup-key" -> subject = value;
                 case "replay-key" -> idempotencyKey = value;
+                case "max-wait-ms" -> wait = value;
                 default -> { }
             }
         }
@@ -103,8 +108,11 @@
             if (idempotencyKey != null && (idempotencyKey.isEmpty() || idempotencyKey.length() > MOST_KEY)) {
                 throw new Bad("bad-replay-key");
             }
+            if (wait != null && !WHOLE.matcher(wait).matches()) {
+                throw new Bad("bad-max-wait-ms");
+            }
             return new Arrival(id, Long.parseLong(accepted), tenant, path.substring(PATH.length()), kb,
-                    standing, subject, idempotencyKey, body);
+                    standing, subject, idempotencyKey, wait == null ? NOT_TOLD : Long.parseLong(wait), body);
         }
 
         private static double number(String text, String code) throws Bad {
--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -201,7 +201,7 @@
         long unread = Math.max(0, (timers.wallMs() - arrival.acceptedAtMs()) * MILLI);
         RequestClass kind = inForce.known(arrival.kind());
         Exchange exchange = new Exchange(arrival, caller, kind != null && kind.repeats() == Repeats.SAFE, now, now - unread,
-                now - unread + (kind == null ? 0 : kind.deadline()), inForce.classPlace(arrival.kind()),
+                now - unread + (kind == null ? 0 : waits(arrival, kind)), inForce.classPlace(arrival.kind()),
                 inForce.tenantPlace(arrival.tenant()),
                 kind != null && kind.repeats() == Repeats.GUARDED && arrival.idempotencyKey() != null ? kind.window() : 0);
         if (kind == null) {
@@ -225,6 +225,12 @@
         return exchange;
     }
 
+    /** For how long its caller waits from its arrival on: what it tells, but no longer than its class has it. */
+    private static long waits(Arrival arrival, RequestClass kind) {
+        boolean told = arrival.waitMs() != Arrival.NOT_TOLD && arrival.waitMs() < kind.deadline() / MILLI;
+        return told ? arrival.waitMs() * MILLI : kind.deadline();
+    }
+
     /** Which try it repeats is asked only now: those read before it in this round have been decided. */
     private void give(Exchange one, Controller to, long at) {
         Arrival arrival = one.arrival();
@@ -239,7 +245,8 @@
         }
         one.held();
         to.read(at, new Request(arrival.id(), one.classPlace(), one.tenantPlace(), 0, at - one.arrivedAt(), arrival.subject(),
-                arrival.reserveKb(), before == null ? null : before.id(), arrival.rank(), 0, !one.repeatable()));
+                arrival.reserveKb(), before == null ? null : before.id(), arrival.rank(),
+                arrival.waitMs() == Arrival.NOT_TOLD ? 0 : one.dueAt(), !one.repeatable()));
     }
 
     /**
--- a/src/main/java/mothwing/dns/server/DnsEngine.java
+++ b/src/main/java/mothwing/dns/server/DnsEngine.java
@@ -134,7 +134,7 @@
             requests.put(id, request);
             request.exchange(broker.read(new Arrival(id, timers.wallMs(), "",
                     query.opcode() == Opcode.UPDATE ? DnsDecisions.UPDATE : DnsDecisions.QUERY,
-                    1 + query.bytes().length / 1024.0, 0.5, null, null, query.bytes()), request));
+                    1 + query.bytes().length / 1024.0, 0.5, null, null, Arrival.NOT_TOLD, query.bytes()), request));
         }
     }
 
--- a/src/main/java/mothwing/lab/DeploymentPlay.java
+++ b/src/main/java/mothwing/lab/DeploymentPlay.java
@@ -129,7 +129,8 @@
         offered += worth(kind);
         server.broker.read(new Arrival(one.id, time.wallMs(),
                 tenants == 0 ? "" : of.settings().tenants().get(random.nextInt(tenants)).name(),
-                of.settings().classes().get(kind).name(), of.kb(), random.nextDouble(), null, null, new byte[0]), one);
+                of.settings().classes().get(kind).name(), of.kb(), random.nextDouble(), null, null,
+                Arrival.NOT_TOLD, new byte[0]), one);
     }
 
     /** One request, and the way back of it. */
--- a/src/main/java/mothwing/lab/SimulationStage.java
+++ b/src/main/java/mothwing/lab/SimulationStage.java
@@ -340,7 +340,8 @@
                 Open one = new Open(gateway, machine, ask, then);
                 machine.open.put(ask.trace(), one);
                 machine.run(machine.starts(), () -> one.exchange = machine.broker.read(new Arrival(ask.trace(),
-                        ask.acceptedAtMs(), "one", ask.kind(), RESERVE_KB, ask.rank(), null, null, ask.body()), one));
+                        ask.acceptedAtMs(), "one", ask.kind(), RESERVE_KB, ask.rank(), null, null,
+                        Arrival.NOT_TOLD, ask.body()), one));
             });
         }
 
--- a/src/test/java/mothwing/broker/BrokerTest.java
+++ b/src/test/java/mothwing/broker/BrokerTest.java
@@ -141,6 +141,21 @@
         assertEquals(0, stand.broker.owed());
     }
 
+    /** Guards against an answer after its caller has given up, where requests tell how long that waits. */
+    @Test
+    void aRequestIsDueWhenItsCallerGivesUpAndNoLaterThanItsClassHasIt() {
+        for (long wait : new long[] {300, 0, 60_000}) {
+            answers.clear();
+            stand.broker.read(new Arrival(Stand.id((int) wait + 1), stand.wallMs(), "one", Stand.LOOK, 10, 0.5, null, null, wait,
+                    new byte[0]), caller());
+            long due = Math.min(wait * 1000, 4_500_000);
+            stand.pass(due + 20_000);
+            assertEquals(List.of(), answers, () -> "before " + wait);
+            stand.pass(60_000);
+            assertEquals(List.of("failed overdue"), answers);
+        }
+    }
+
     /** Guards against a fault of the decisions that ends the process, or costs an answer. */
     @Test
     void outlivesAControllerThatThrows() {
@@ -452,7 +467,7 @@
     /** A try of a guarded request; some body stands for each number. */
     private Exchange guarded(int number, String key, int body, String tenant) {
         return stand.broker.read(new Arrival(Stand.id(number), stand.wallMs(), tenant, "save", 10, 0.5, null, key,
-                new byte[] {(byte) body}), caller());
+                Arrival.NOT_TOLD, new byte[] {(byte) body}), caller());
     }
 
     private Exchange guarded(int number) {
