--- a/src/test/java/mothwing/server/DescriptorsTest.java
+++ b/src/test/java/mothwing/server/DescriptorsTest.java
@@ -83,7 +83,8 @@
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
                     System.getProperty("java.class.path"), "mothwing.Main", "serve", "--config", file.toString())
                     .redirectErrorStream(true).start();
-            try (BufferedReader out = server.inputReader()) {
+            try {
+                BufferedReader out = server.inputReader(); // its lock is the reader's while the process lives: it ends with that
                 for (String line = out.readLine(); !line.contains(" takes-clients "); line = out.readLine()) {
                     log.add(line);
                 }
