--- a/src/main/java/mothwing/lab/Drawn.java
+++ b/src/main/java/mothwing/lab/Drawn.java
@@ -51,7 +51,7 @@
             case DELAY -> Math.rint(random.nextDouble() * MOST_DELAY_MS);
             case SLOW -> Math.rint(LEAST_BYTES * (1 + 10 * random.nextDouble()));
             case CROWD -> 1 + random.nextInt(7);
-            case LOSE, REPEAT, FLIP, DIP -> share;
+            case LOSE, REPEAT, FLIP, DIP, MUTE -> share;
             default -> 0;
         };
         String server = some(trial.servers(), random);
--- a/src/main/java/mothwing/lab/Fault.java
+++ b/src/main/java/mothwing/lab/Fault.java
@@ -52,6 +52,10 @@
         UPGRADE(false, false, false, "upgrade(%s)"),
         /** The pool works at a share of its speed. */
         DIP(false, true, true, "dip(%s, share = %s)"),
+        /** The pool's cores do no work, and a stop has no effect; the pool itself goes on talking. */
+        HANG(false, false, true, "hang(%s)"),
+        /** The pool leaves a share of the polls unanswered. */
+        MUTE(false, true, true, "mute(%s, share = %s)"),
         /** So many busy processes share the server's core. */
         CROWD(false, true, true, "crowd(%s, busy = %s)");
 
@@ -76,6 +80,9 @@
     /** What virtual time does not have. */
     static final Set<Kind> PROCESSES_ONLY = EnumSet.of(Kind.REPEAT, Kind.FLIP, Kind.UPGRADE, Kind.CROWD);
 
+    /** What happens to machines and is taken back as a trial ends. */
+    static final Set<Kind> LIFTED = EnumSet.of(Kind.STOP, Kind.CROWD, Kind.DIP, Kind.HANG, Kind.MUTE);
+
     Fault {
         from = List.copyOf(from);
         to = List.copyOf(to);
--- a/src/main/java/mothwing/lab/FleetStage.java
+++ b/src/main/java/mothwing/lab/FleetStage.java
@@ -68,7 +68,7 @@
                     + "], zone = \"" + zone + "\")\n");
             Served.Place place = new Served.Place(as, (InetSocketAddress) clients.getLocalAddress(),
                     (InetSocketAddress) door.getLocalAddress(), pool.address(), new InetSocketAddress("127.0.0.1", 1));
-            now = new Served(folder, place, new Trial.Fleet(1, 4, 0, 0, 4500, 192, 256, 3200), "mothwing.Main", site,
+            now = new Served(folder, place, Trial.Fleet.single(), "mothwing.Main", site,
                     line -> { });
         }
 
--- a/src/main/java/mothwing/lab/Gateway.java
+++ b/src/main/java/mothwing/lab/Gateway.java
@@ -11,6 +11,9 @@
 
 /** The bytes of a stand-in gateway: what it sends for a request, and what it makes of what comes back. */
 public abstract class Gateway {
+    /** Kilobytes that are booked for each held request. */
+    static final double RESERVE_KB = 24.5;
+
     /** Answers read and not taken yet. */
     public final Queue<Answer> answers = new ArrayDeque<>();
     /** Whether the server said that the connection must not be used again. */
@@ -43,7 +46,7 @@
         all.put("Accepted-At-Ms", Long.toString(acceptedAtMs));
         all.put("Client-No", "4");
         all.put("Project", "one");
-        all.put("Reserve-Kb", "24.5");
+        all.put("Reserve-Kb", Double.toString(RESERVE_KB));
         all.put("Standing", "0.6250");
         return all;
     }
--- a/src/main/java/mothwing/lab/History.java
+++ b/src/main/java/mothwing/lab/History.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * What was seen from outside during a trial: every try as its gateway saw it, every run as the pool's journal has it, every
@@ -100,6 +101,15 @@
     record Applied(long at, long until, Fault fault) {
     }
 
+    /**
+     * What a pool's machine bears from a moment on.
+     *
+     * @param onCores runs on the cores
+     * @param kept runs that take a run's memory: on the cores, stopped, or at a call
+     */
+    record Crowd(String machine, long at, int onCores, int kept) {
+    }
+
     /** What a gateway's list of servers had, as it changed. */
     record Listed(long at, String gateway, List<String> servers) {
     }
@@ -118,6 +128,10 @@
             return run;
         }
 
+        void crowd(long now, int onCores, int kept) {
+            crowds.add(new Crowd(machine, now, onCores, kept));
+        }
+
         void ended(Run run, String code, long now) {
             run.code = code;
             run.endedAt = now;
@@ -131,12 +145,16 @@
     final List<Life> lives = Collections.synchronizedList(new ArrayList<>());
     final List<Size> sizes = Collections.synchronizedList(new ArrayList<>());
     final List<Applied> applied = Collections.synchronizedList(new ArrayList<>());
+    final List<Crowd> crowds = Collections.synchronizedList(new ArrayList<>());
     final List<Listed> listed = Collections.synchronizedList(new ArrayList<>());
     /** Microseconds by which the rig's own clock was late, a figure for each look. */
     final List<Long> lateness = Collections.synchronizedList(new ArrayList<>());
     /** What the rig could not do, in words: then there is no verdict. */
     final List<String> troubles = Collections.synchronizedList(new ArrayList<>());
 
+    /** Who is told of each try's end as its gateway has it. */
+    volatile Consumer<Call> onEnd = call -> { };
+
     Journal journal(String machine) {
         return new Journal(machine);
     }
@@ -158,6 +176,7 @@
         lines(folder.resolve("lives.jsonl"), lives);
         lines(folder.resolve("sizes.jsonl"), sizes);
         lines(folder.resolve("faults.jsonl"), applied);
+        lines(folder.resolve("crowds.jsonl"), crowds);
         lines(folder.resolve("lists.jsonl"), listed);
         lines(folder.resolve("lateness.jsonl"), lateness);
         lines(folder.resolve("troubles.jsonl"), troubles);
@@ -175,6 +194,7 @@
         into(folder.resolve("lives.jsonl"), Life.class, all.lives);
         into(folder.resolve("sizes.jsonl"), Size.class, all.sizes);
         into(folder.resolve("faults.jsonl"), Applied.class, all.applied);
+        into(folder.resolve("crowds.jsonl"), Crowd.class, all.crowds);
         into(folder.resolve("lists.jsonl"), Listed.class, all.listed);
         into(folder.resolve("lateness.jsonl"), Long.class, all.lateness);
         into(folder.resolve("troubles.jsonl"), String.class, all.troubles);
--- a/src/main/java/mothwing/lab/Oracles.java
+++ b/src/main/java/mothwing/lab/Oracles.java
@@ -12,6 +12,7 @@
 import mothwing.lab.Fault.Kind;
 import mothwing.lab.History.Applied;
 import mothwing.lab.History.Call;
+import mothwing.lab.History.Crowd;
 import mothwing.lab.History.End;
 import mothwing.lab.History.Life;
 import mothwing.lab.History.Run;
@@ -20,7 +21,7 @@
 final class Oracles {
     /** The rules that hold for every trial unless it names others. */
     static final Set<String> RULES = Set.copyOf(new TreeSet<>(List.of("one-answer", "own-result", "once-a-server",
-            "refused-never-ran", "due", "drain", "bounds", "alive", "closes")));
+            "refused-never-ran", "due", "drain", "bounds", "alive", "closes", "overload")));
     /** Rules that a trial may ask for. */
     static final Set<String> FURTHER = Set.of("once-in-fleet");
 
@@ -28,6 +29,8 @@
     private static final long MILLI = 1000;
     private static final long SLACK = 150 * MILLI; // that of the settings, and 50 ms on sockets
     private static final long GRACE = 2000 * MILLI; // after the notice, for arrivals that may run
+    private static final int FALL_PER_CORE = 8; // that of the settings
+    private static final long FALL_SPAN = 2000 * MILLI; // that of the settings
     private static final long CROSSING = 200 * MILLI; // in which the end of a process reaches its gateways
     private static final long TOO_LATE = 50 * MILLI;
     private static final double LATE_SHARE = 0.01;
@@ -68,6 +71,7 @@
         one.calls();
         one.runs();
         one.lives();
+        one.crowds();
         List<Breach> breaches = new ArrayList<>(one.all);
         breaches.removeIf(breach -> !trial.rules().contains(breach.rule()));
         List<String> doubts = new ArrayList<>(history.troubles);
@@ -198,6 +202,60 @@
         return all;
     }
 
+    // machines
+
+    /** No machine bears more than so many runs a core in the mean of a span, nor more started runs than its memory has room for. */
+    private void crowds() {
+        Map<String, List<Crowd>> byMachine = new LinkedHashMap<>();
+        for (Crowd one : history.crowds) {
+            byMachine.computeIfAbsent(one.machine(), none -> new ArrayList<>()).add(one);
+        }
+        byMachine.forEach((machine, steps) -> {
+            double mean = worstMean(steps);
+            if (mean > FALL_PER_CORE * trial.fleet().cores()) {
+                breach("overload", machine + " fell: " + Fault.number(Math.round(mean)) + " runs on its cores in the mean of "
+                        + seconds(FALL_SPAN));
+            }
+            Crowd most = steps.stream().max(Comparator.comparingInt(Crowd::kept)).orElseThrow();
+            if (most.kept() > trial.fleet().mostRuns()) {
+                breach("overload", machine + " fell: " + most.kept() + " started runs in its memory at " + seconds(most.at())
+                        + ", more than " + trial.fleet().mostRuns());
+            }
+        });
+    }
+
+    /** The highest mean of runs on the cores over any span of the rule: a worst one begins or ends at a change. */
+    static double worstMean(List<Crowd> steps) {
+        double[] until = new double[steps.size()]; // runs times microseconds before each change
+        for (int i = 1; i < until.length; i++) {
+            Crowd before = steps.get(i - 1);
+            until[i] = until[i - 1] + (double) before.onCores() * (steps.get(i).at() - before.at());
+        }
+        double worst = 0;
+        for (Crowd one : steps) {
+            for (long end : new long[] {one.at(), one.at() + FALL_SPAN}) {
+                double inSpan = runTime(steps, until, end) - runTime(steps, until, end - FALL_SPAN);
+                worst = Math.max(worst, inSpan / FALL_SPAN);
+            }
+        }
+        return worst;
+    }
+
+    /** Runs times microseconds up to a moment. */
+    private static double runTime(List<Crowd> steps, double[] until, long at) {
+        int low = 0;
+        int high = steps.size();
+        while (low < high) {
+            int middle = (low + high) / 2;
+            if (steps.get(middle).at() <= at) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        return low == 0 ? 0 : until[low - 1] + (double) steps.get(low - 1).onCores() * (at - steps.get(low - 1).at());
+    }
+
     // processes
 
     /** When a process could hear of its notice: a signal to one that stands still waits for its waking. */
--- a/src/main/java/mothwing/lab/PoolCores.java
+++ b/src/main/java/mothwing/lab/PoolCores.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Function;
 import mothwing.broker.Timers;
 
@@ -15,6 +17,7 @@
 final class PoolCores {
     private boolean fresh;
     private static final long UNENDING = Long.MAX_VALUE / 4;
+    private static final int MOST_OVER = 20_000;
     private static final double MICRO_SHARE = 1e-3; // microseconds of work left that count as done
 
     /** Who is told of the end of a run: {@code done} or {@code aborted}. */
@@ -36,7 +39,12 @@
     record Work(int cores, Function<String, Kind> of, boolean keeps) {
         /** The same for all classes, and no calls. */
         Work(int cores, double meanMs, double spread) {
-            this(cores, kind -> new Kind(meanMs, spread, 0), true);
+            this(cores, meanMs, spread, Trial.Halting.SUSPEND);
+        }
+
+        /** The same, and what a stop does. */
+        Work(int cores, double meanMs, double spread, Trial.Halting halting) {
+            this(cores, kind -> new Kind(meanMs, spread, 0), halting != Trial.Halting.ABORT);
         }
 
         /** A run that ends by {@link #endAll} only. */
@@ -76,6 +84,10 @@
     private final Map<String, Job> running = new LinkedHashMap<>();
     private final Map<String, Job> paused = new LinkedHashMap<>();
     private final Map<String, Job> atCall = new LinkedHashMap<>();
+    private final Set<String> over = new LinkedHashSet<>(); // requests whose callers have an answer or have left
+    private final Random muting = new Random(1);
+    private double mute;
+    private boolean hung;
     private double speed = 1;
     private long last;
     private long planned = Long.MAX_VALUE;
@@ -89,11 +101,15 @@
         last = timers.now();
     }
 
-    /** Begins a run for one life of the server, unless there is one of that name. */
+    /** Begins a run for one life of the server, unless there is one of that name; {@code stale} where its request is over. */
     void spawn(String id, String kind, byte[] body, int life, Ends ends) {
         if (off || running.containsKey(id) || paused.containsKey(id) || atCall.containsKey(id)) {
             return;
         }
+        if (over.contains(id)) {
+            ends.ended(id, "stale", 0, body);
+            return;
+        }
         advance();
         Kind one = work.of().apply(kind);
         double ms = one.meanMs() * (1 + one.spread() * (2 * random.nextDouble() - 1));
@@ -102,15 +118,21 @@
         plan();
     }
 
-    /** Stops a run, and keeps it where stops do; nothing where there is none. One that stands at a call is kept there. */
+    /**
+     * Stops a run, and keeps it where stops do; nothing where there is none, and nothing while the cores hang. One that stands
+     * at a call is kept there.
+     */
     void suspend(String id) {
         advance();
+        if (hung) {
+            return;
+        }
         Job job = running.remove(id);
         if (job == null && !work.keeps()) {
             job = atCall.remove(id);
         }
         if (job != null) {
-            if (work.keeps()) {
+            if (work.keeps() && !over.contains(id)) {
                 paused.put(id, job);
             } else {
                 journal.ended(job.run, "aborted", timers.now());
@@ -144,6 +166,10 @@
 
     /** Nobody waits for this request any longer: a run of it that stands at a call is over, and one that was stopped is gone. */
     void over(String id) {
+        over.add(id);
+        if (over.size() > MOST_OVER) {
+            over.remove(over.iterator().next());
+        }
         Job job = atCall.remove(id);
         Job stopped = paused.remove(id);
         if (stopped != null) {
@@ -152,6 +178,28 @@
             journal.ended(job.run, "aborted", timers.now());
             job.ends.ended(id, "aborted", (long) job.took, job.body);
         }
+        told();
+    }
+
+    /** The cores do no work and stop nothing, or go on. */
+    void hang(boolean now) {
+        advance();
+        hung = now;
+        plan();
+    }
+
+    /** Leaves a share of the polls unanswered from now on. */
+    void mute(double share) {
+        mute = share;
+    }
+
+    /** Whether the next poll is answered. */
+    boolean answersPoll() {
+        return mute == 0 || muting.nextDouble() >= mute;
+    }
+
+    private void told() {
+        journal.crowd(timers.now(), running.size(), running.size() + paused.size() + atCall.size());
     }
 
     /** How many runs are on the cores. */
@@ -192,6 +240,7 @@
         running.clear();
         paused.clear();
         atCall.clear();
+        told();
     }
 
     /** Ends all that runs. */
@@ -212,7 +261,7 @@
     }
 
     private double rate() {
-        return speed * Math.min(1, (double) work.cores() / Math.max(1, running.size()));
+        return hung ? 0 : speed * Math.min(1, (double) work.cores() / Math.max(1, running.size()));
     }
 
     private void advance() {
@@ -226,6 +275,7 @@
     }
 
     private void plan() {
+        told();
         double least = running.values().stream().mapToDouble(job -> job.left).min().orElse(-1);
         if (least < 0 && running.isEmpty() || off || rate() <= 0) {
             return;
--- a/src/main/java/mothwing/lab/ProcessStage.java
+++ b/src/main/java/mothwing/lab/ProcessStage.java
@@ -162,6 +162,7 @@
         sockets = new GatewaySockets(loop, timers, relay, from);
         gateways.putAll(onLoop(() -> Shopfront.all(trial, timers, random, sockets, history)));
         register = onLoop(() -> new Register(timers, links, gateways));
+        history.onEnd = call -> touch(machines.get(call.server()), cores -> cores.over(call.trace()));
         bureau = new Bureau(loop, address(6, 1), name -> register.heard(name));
         progress.accept("starting " + trial.fleet().servers() + " servers");
         List<Long> workSeeds = new ArrayList<>();
@@ -281,7 +282,7 @@
     private Running start(Machine machine, Random work) throws IOException {
         if (machine.cores == null) {
             machine.cores = new PoolCores(new PoolCores.Work(trial.fleet().cores(), trial.fleet().workMs(),
-                    trial.fleet().spread()), epoch.on(loop, machine.lock), work, history.journal(machine.name));
+                    trial.fleet().spread(), trial.fleet().halting()), epoch.on(loop, machine.lock), work, history.journal(machine.name));
         }
         machine.starts++;
         StandInPool pool = new StandInPool(address(4, machine.number), machine.cores, machine.lock, machine.starts);
@@ -392,6 +393,8 @@
                 switch (fault.kind()) {
                     case STOP -> still(machine, name, false);
                     case DIP -> speed(machine, 1);
+                    case HANG -> touch(machine, cores -> cores.hang(false));
+                    case MUTE -> touch(machine, cores -> cores.mute(0));
                     case CROWD -> leaveCrowd(machine);
                     case KILL, WIPE, LEAVE -> {
                         if (machine.now != null) {
@@ -442,6 +445,8 @@
                     loop.execute(() -> settle(fault));
                 }
                 case DIP -> speed(machine, fault.value());
+                case HANG -> touch(machine, cores -> cores.hang(true));
+                case MUTE -> touch(machine, cores -> cores.mute(fault.value()));
                 case CROWD -> crowd(machine, (int) fault.value());
                 default -> { }
             }
@@ -449,8 +454,14 @@
     }
 
     private void speed(Machine machine, double share) {
+        touch(machine, cores -> cores.speed(share));
+    }
+
+    private static void touch(Machine machine, Consumer<PoolCores> work) {
         synchronized (machine.lock) {
-            machine.cores.speed(share);
+            if (machine.cores != null) {
+                work.accept(machine.cores);
+            }
         }
     }
 
@@ -589,8 +600,7 @@
         onLoop(() -> {
             ending = true;
             for (Fault one : new ArrayList<>(inForce.keySet())) {
-                if (one.kind().link || one.kind() == Fault.Kind.STOP || one.kind() == Fault.Kind.CROWD
-                        || one.kind() == Fault.Kind.DIP) {
+                if (one.kind().link || Fault.LIFTED.contains(one.kind())) {
                     lift(one);
                 }
             }
--- a/src/main/java/mothwing/lab/Served.java
+++ b/src/main/java/mothwing/lab/Served.java
@@ -23,6 +23,7 @@
     static final List<String> OPTIONS = List.of("-Xms40m", "-Xmx48m", "-XX:MaxDirectMemorySize=16m", "-Xss256k",
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:ReservedCodeCacheSize=16m", "-XX:MaxMetaspaceSize=32m",
             "-XX:-UsePerfData");
+    private static final int RUN_FACTOR = 16; // memory of a started run for that of a held request
     private static final int DOOR_PATIENCE_MS = 1000;
     private static final int MOST_LINES = 20_000;
 
@@ -39,7 +40,7 @@
 
     /** Starts one for clients at a port, in front of a pool; all its addresses are on loopback. */
     public Served(Path folder, int port, int door, StandInPool pool) throws IOException {
-        this(folder, place(port, door, pool), new Trial.Fleet(1, 4, 0, 0, 4500, 192, 256, 3200), "mothwing.Main", line -> { });
+        this(folder, place(port, door, pool), Trial.Fleet.single(), "mothwing.Main", line -> { });
     }
 
     /** Starts one whose runs may call a tier below. */
@@ -90,7 +91,7 @@
 
     /** A configuration for clients at a port and operators at another. */
     public static String config(int port, int door, StandInPool pool) {
-        return config(place(port, door, pool), new Trial.Fleet(1, 4, 0, 0, 4500, 192, 256, 3200));
+        return config(place(port, door, pool), Trial.Fleet.single());
     }
 
     /** A configuration. */
@@ -102,12 +103,13 @@
                 + "'Target':%d,'GiveUp':%d,'Worth':10,'Idempotency':'single_shot'}],"
                 + "'Tenants':[{'Name':'one','QuotaPerS':1000000}],'Contract':{'AnswerSlack':100000,'DrainGrace':2000000,"
                 + "'FallMultiple':8,'Fall':2000000,'ColdFrom':0.3,'WarmAfter':10000000},'Limits':{'RetryAfter':true,'MaxRetryAfter':1000000},"
-                + "'Extra':{'Cores':%d,'MemoryKb':900000,'RunMemFactor':16,'Halt':'suspend','Idle':30000000,"
+                + "'Extra':{'Cores':%d,'MemoryKb':%d,'RunMemFactor':%d,'Halt':'%s','Idle':30000000,"
                 + "'Gauges':['cpu_busy','runnable','mem_used','sockets'],'Say':'threshold'}}}").replace('\'', '"'),
                 place.name(), Addresses.text(place.listen()), Addresses.text(place.door()), Addresses.text(place.pool()),
                 Addresses.text(place.announce()),
                 fleet.stopMs(), fleet.memoryMb(), fleet.sockets(), deadline * 2 / 5, deadline, deadline * 2 / 5, deadline,
-                fleet.cores());
+                fleet.cores(), Math.round(fleet.mostRuns() * RUN_FACTOR * Gateway.RESERVE_KB), RUN_FACTOR,
+                fleet.halting().word());
     }
 
     /** A port on loopback that stays taken until the socket is closed, and that servers may share meanwhile. */
--- a/src/main/java/mothwing/lab/Shopfront.java
+++ b/src/main/java/mothwing/lab/Shopfront.java
@@ -67,6 +67,7 @@
                     || java.util.Arrays.equals(reply.result(), StandInPool.made(ask.body()));
             history.calls.add(new History.Call(order, attempt, ask.trace(), ask.kind(), name, server, sentAt,
                     timers.now(), reply.end(), reply.holdOffMs(), 0, proper));
+            history.onEnd.accept(history.calls.get(place));
             open.remove(ask.trace());
             Known known = known(server);
             if (reply.end() == End.UNREACHED) {
--- a/src/main/java/mothwing/lab/SimulationStage.java
+++ b/src/main/java/mothwing/lab/SimulationStage.java
@@ -32,7 +32,6 @@
     private static final long REPORT = 1000 * MILLI;
     private static final long RELINK = 100 * MILLI;
     private static final long LEAVE_LOOK = 20 * MILLI;
-    private static final double RESERVE_KB = 24.5;
 
     private final BiFunction<Settings, Host, Controller> maker;
     private VirtualTime time;
@@ -66,6 +65,12 @@
         machines = new LinkedHashMap<>();
         inForce.clear();
         over = false;
+        history.onEnd = call -> {
+            PoolLine pool = machines.get(call.server()).pool;
+            if (pool != null) {
+                pool.cores.over(call.trace());
+            }
+        };
         Random random = new Random(trial.seed());
         net = new VirtualNet(time, links, new Random(random.nextLong()));
         work = new Random(random.nextLong());
@@ -97,7 +102,7 @@
             time.until(time.now() + LEAVE_LOOK);
         }
         for (Fault one : new ArrayList<>(inForce)) {
-            if (one.kind().link || one.kind() == Fault.Kind.STOP || one.kind() == Fault.Kind.DIP) {
+            if (one.kind().link || Fault.LIFTED.contains(one.kind())) {
                 lift(one);
             }
         }
@@ -186,7 +191,7 @@
             life = new History.Life(name, mine, time.now());
             history.lives.add(life);
             PoolCores cores = new PoolCores(new PoolCores.Work(trial.fleet().cores(), trial.fleet().workMs(),
-                    trial.fleet().spread()), time, new Random(work.nextLong()), history.journal(name));
+                    trial.fleet().spread(), trial.fleet().halting()), time, new Random(work.nextLong()), history.journal(name));
             pool = new PoolLine(this, mine, cores);
             broker = new Broker(settings, maker, pool, timers(mine), new Counters(), line -> { });
             pool.broker = broker;
@@ -216,6 +221,8 @@
                     pool.cores.hold(true);
                 }
                 case DIP -> pool.cores.speed(fault.value());
+                case HANG -> pool.cores.hang(true);
+                case MUTE -> pool.cores.mute(fault.value());
                 case LEAVE -> leave();
                 default -> { }
             }
@@ -233,6 +240,8 @@
                     still(false);
                 }
                 case DIP -> pool.cores.speed(1);
+                case HANG -> pool.cores.hang(false);
+                case MUTE -> pool.cores.mute(0);
                 default -> { }
             }
         }
@@ -340,7 +349,7 @@
                 Open one = new Open(gateway, machine, ask, then);
                 machine.open.put(ask.trace(), one);
                 machine.run(machine.starts(), () -> one.exchange = machine.broker.read(new Arrival(ask.trace(),
-                        ask.acceptedAtMs(), "one", ask.kind(), RESERVE_KB, ask.rank(), null, null,
+                        ask.acceptedAtMs(), "one", ask.kind(), Gateway.RESERVE_KB, ask.rank(), null, null,
                         Arrival.NOT_TOLD, ask.body()), one));
             });
         }
@@ -423,9 +432,11 @@
             Notice one = notices.get(number - 1);
             back(() -> {
                 read = number;
-                boolean done = one.code.equals("done");
-                broker.finished(one.id, done ? Outcome.GOOD : Outcome.STOPPED, one.took,
-                        done ? StandInPool.made(one.body) : null);
+                switch (one.code) {
+                    case "done" -> broker.finished(one.id, Outcome.GOOD, one.took, StandInPool.made(one.body));
+                    case "stale" -> broker.finished(one.id, Outcome.MOOT, 0, null);
+                    default -> broker.finished(one.id, Outcome.STOPPED, one.took, null);
+                }
             });
         }
 
@@ -480,6 +491,9 @@
         @Override
         public void poll(String echo) {
             command(() -> {
+                if (!cores.answersPoll()) {
+                    return;
+                }
                 double[] gauges = cores.gauges();
                 back(() -> broker.polled(echo, gauges));
             });
--- a/src/main/java/mothwing/lab/StandInPool.java
+++ b/src/main/java/mothwing/lab/StandInPool.java
@@ -157,6 +157,9 @@
                 }
             }
             case "poll" -> {
+                if (!cores.answersPoll()) {
+                    break;
+                }
                 double[] all = cores.gauges();
                 say("{\"action\":\"polled\",\"echo\":\"" + command.get("echo").getAsString() + "\",\"meters\":["
                         + all[0] + "," + all[1] + "," + all[2] + "," + all[3] + "]}");
--- a/src/main/java/mothwing/lab/Trial.java
+++ b/src/main/java/mothwing/lab/Trial.java
@@ -43,10 +43,42 @@
      * @param memoryMb most resident memory of a process
      * @param sockets most descriptors of a process
      * @param stopMs from the notice to leave to the end
+     * @param memoryRuns started runs a core that the pool's memory bears
+     * @param halting what the pool does to a run that it is told to stop
      */
     record Fleet(int servers, int cores, double workMs, double spread, long deadlineMs, int memoryMb, int sockets,
-            long stopMs) {
-        static final Fleet USUAL = new Fleet(3, 2, 60, 0.3, 4500, 192, 1024, 3200);
+            long stopMs, int memoryRuns, Halting halting) {
+        static final Fleet USUAL = new Fleet(3, 2, 60, 0.3, 4500, 192, 1024, 3200, 1000, Halting.SUSPEND);
+
+        /** One server for tests that bring their own pool. */
+        static Fleet single() {
+            return new Fleet(1, 4, 0, 0, 4500, 192, 256, 3200, 500, Halting.SUSPEND);
+        }
+
+        /** The same with another number of servers. */
+        Fleet withServers(int other) {
+            return new Fleet(other, cores, workMs, spread, deadlineMs, memoryMb, sockets, stopMs, memoryRuns, halting);
+        }
+
+        /** Started runs that the whole pool's memory bears. */
+        int mostRuns() {
+            return memoryRuns * cores;
+        }
+    }
+
+    /** What a pool does to a run that it is told to stop. */
+    enum Halting {
+        /** It keeps the run, which may go on later. */
+        SUSPEND,
+        /** It throws the run's work away. */
+        ABORT,
+        /** It cannot stop runs. */
+        SILENT;
+
+        /** Its name in scripts and settings. */
+        String word() {
+            return name().toLowerCase(Locale.ROOT);
+        }
     }
 
     /** How a gateway chooses. */
@@ -143,10 +175,8 @@
     }
 
     Trial withFleet(int servers, int gateways) {
-        Fleet f = fleet;
         Load l = load;
-        return new Trial(name, seed, seconds, new Fleet(servers, f.cores, f.workMs, f.spread, f.deadlineMs, f.memoryMb,
-                f.sockets, f.stopMs), new Load(l.rate, l.orders, gateways, l.habits, l.heed, l.retries, l.backoffMs,
+        return new Trial(name, seed, seconds, fleet.withServers(servers), new Load(l.rate, l.orders, gateways, l.habits, l.heed, l.retries, l.backoffMs,
                 l.patienceMs), faults, drawn, rules);
     }
 
@@ -157,7 +187,7 @@
         lines.add("fleet(servers = " + fleet.servers + ", cores = " + fleet.cores + ", work_ms = "
                 + Fault.number(fleet.workMs) + ", spread = " + Fault.number(fleet.spread) + ",\n      deadline_ms = "
                 + fleet.deadlineMs + ", memory_mb = " + fleet.memoryMb + ", sockets = " + fleet.sockets + ", stop_ms = "
-                + fleet.stopMs + ")");
+                + fleet.stopMs + ",\n      memory_runs = " + fleet.memoryRuns + ", halt = \"" + fleet.halting.word() + "\")");
         lines.add("traffic(rate = " + Fault.number(load.rate) + ", orders = " + Fault.number(load.orders) + ", gateways = "
                 + load.gateways + ", habits = [" + load.habits.stream()
                         .map(one -> "\"" + one.name().toLowerCase(Locale.ROOT) + "\"").collect(Collectors.joining(", "))
--- a/src/main/java/mothwing/lab/TrialScript.java
+++ b/src/main/java/mothwing/lab/TrialScript.java
@@ -128,11 +128,22 @@
                 call.number("work_ms", usual.workMs(), 0.1, 60_000), call.number("spread", usual.spread(), 0, 1),
                 call.whole("deadline_ms", usual.deadlineMs(), 200, 60_000),
                 (int) call.whole("memory_mb", usual.memoryMb(), 48, 1 << 16),
-                (int) call.whole("sockets", usual.sockets(), 80, 1 << 16), call.whole("stop_ms", usual.stopMs(), 300, 60_000));
+                (int) call.whole("sockets", usual.sockets(), 80, 1 << 16), call.whole("stop_ms", usual.stopMs(), 300, 60_000),
+                (int) call.whole("memory_runs", usual.memoryRuns(), 1, 1 << 16), halting(call));
         call.done(0);
         return null;
     }
 
+    private static Trial.Halting halting(Arguments call) throws ScriptError {
+        String word = call.text("halt", Trial.Halting.SUSPEND.word());
+        for (Trial.Halting one : Trial.Halting.values()) {
+            if (one.word().equals(word)) {
+                return one;
+            }
+        }
+        throw call.wrong("argument halt is \"" + word + "\", expected suspend, abort or silent");
+    }
+
     private Object traffic(Arguments call) throws ScriptError {
         Load usual = Load.USUAL;
         List<Habit> habits = new ArrayList<>();
@@ -220,7 +231,7 @@
             case DELAY -> call.number("ms", 100, 0, 60_000);
             case SLOW -> call.number("bytes", 10_000, 1, 1e9);
             case CROWD -> call.whole("busy", 1, 0, 64);
-            case LOSE, REPEAT, FLIP, DIP -> call.number("share", 0.1, 0, 1);
+            case LOSE, REPEAT, FLIP, DIP, MUTE -> call.number("share", 0.1, 0, 1);
             default -> 0;
         };
         double more = kind == Fault.Kind.DELAY ? call.number("spread_ms", 0, 0, 60_000) : 0;
