Count a run as running until the pool says that it is over, and never take old gauges for news

Cause (docs/incidents): Broker.resolve took the absence of an 'aborted' behind a relink for the absence of a run, and Broker.unlinked and late polls gave the module the gauges of the last answer again. Evidence: links that carry answers to polls alone, stops going out without a word, a fall 56 ms behind a relink. Change: RunReconciler asks by a start behind a stop ('stale' for a request that is over, nothing for what runs), says stops again each 500 ms, repeats questions without an answer, and gives up a lost end only where the cores are shown idle; Sample carries gauges of this moment or their absence with its age, the module does not grow without them and shrinks its running limit after 5 samples; calls cut off with their link linger; links that break in a row are opened after an eighth of their life, 5 ms at least; any answered poll shows a link caught up.

--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -17,6 +17,7 @@
 import mothwing.OverloadControl.Repeats;
 import mothwing.OverloadControl.Request;
 import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Sample;
 import mothwing.OverloadControl.Settings;
 
 /**
@@ -82,6 +83,7 @@
     private static final double STUCK = 4; // ratio to its guess past which a run tells of a stuck server
     private static final double BUSY_SECONDS = 3; // over which cores are idle or busy: some ten runs
     private static final int STALL = 3; // samples late: the process stood still, which is no evidence of load
+    private static final int IGNORANCE = 5; // samples without gauges that a running limit outlives: one lost answer and a relink
     private static final double BEST_SECONDS = 60; // in which a best completion rate fades
     private static final double SECOND = 1e6; // microseconds
     private static final String TICK = "sample"; // tag of the only timer
@@ -582,7 +584,7 @@
             enterCore(job);
             return;
         }
-        if (outcome == Outcome.TIMED_OUT) {
+        if (!outcome.neverRan() && outcome != Outcome.FAILED) { // given up, or cut off with its link: it may run on below
             lingering.add(now + settings.dependency().linger());
         }
         job.state = State.AT_CALL;
@@ -809,7 +811,7 @@
     }
 
     @Override
-    public void timer(long at, String tag, double[] gauges) {
+    public void timer(long at, String tag, Sample sampled) {
         advance(at);
         host.timer(at + sample, TICK);
         boolean stalled = at - lastSample > STALL * sample && !late;
@@ -821,12 +823,17 @@
         fadePaces(span);
         faults[RUNS] = Math.max(0, faults[RUNS] - FORGOTTEN * cores * span);
         faults[CALLS] = Math.max(0, faults[CALLS] - FORGOTTEN * cores * span);
-        busy = gauge(gauges, "cpu_busy", Math.min(1, (double) onCores / cores));
+        busy = gauge(sampled, "cpu_busy", Math.min(1, (double) onCores / cores));
         usualBusy += (busy - usualBusy) * Math.min(1, span / BUSY_SECONDS);
         if (!stalled) {
-            observe(gauges, span);
+            observe(sampled, span);
+        }
+        int steps = (int) Math.max(1, Math.min(HISTORY, span * SECOND / sample));
+        if (sampled.known() || settings.machine().gauges().isEmpty()) {
+            adaptRunLimit(steps);
+        } else {
+            shrinkRunLimit(steps, sampled.age());
         }
-        adaptRunLimit((int) Math.max(1, Math.min(HISTORY, span * SECOND / sample)));
     }
 
     /** Refills the buckets of the filter in force and the tenants' quotas. */
@@ -883,10 +890,10 @@
     // monitor, load controller, policy manager
 
     /** One sample: the gauges, the index, and the damped step through the ladder. */
-    private void observe(double[] gauges, double span) {
+    private void observe(Sample sampled, double span) {
         record(0, busy);
         record(1, memory / Math.max(1, settings.machine().memory()));
-        record(2, gauge(gauges, "runnable", onCores) / survivable());
+        record(2, gauge(sampled, "runnable", onCores) / survivable());
         record(3, holdWait());
         samples++;
         doneRate += (doneWork / SECOND / span - doneRate) * Math.min(1, span / 2);
@@ -903,9 +910,10 @@
         callers.sample(faults[RUNS] > FAULTS, busy < UNDER[0], now - startedAt);
     }
 
-    private double gauge(double[] gauges, String name, double absent) {
+    /** A gauge of this moment; where it is not known, what this server's own book of runs makes of it. */
+    private double gauge(Sample sampled, String name, double byOwnBook) {
         int place = settings.machine().gauges().indexOf(name);
-        return place >= 0 && place < gauges.length ? gauges[place] : absent;
+        return place >= 0 && place < sampled.gauges().size() ? sampled.gauges().get(place) : byOwnBook;
     }
 
     private void record(int gauge, double share) {
@@ -991,6 +999,13 @@
         return all;
     }
 
+    /** Without gauges the running limit never grows; the longer they are missing, the closer it comes to the cores. */
+    private void shrinkRunLimit(int steps, long ignorance) {
+        if (ignorance > IGNORANCE * sample) {
+            runLimit = Math.max(cores, runLimit - steps);
+        }
+    }
+
     /** The running limit grows fast while cores idle and work waits, and falls back to the cores. */
     private void adaptRunLimit(int steps) {
         boolean waiting = open.values().stream().anyMatch(job -> job.state == State.HELD && !job.answered);
--- a/src/main/java/mothwing/OverloadControl.java
+++ b/src/main/java/mothwing/OverloadControl.java
@@ -1,5 +1,6 @@
 package mothwing;
 
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -212,6 +213,49 @@
             double memory, String forerunner, double rank, long waitsUntil, boolean write) {
     }
 
+    /**
+     * The gauges of one moment, or their absence. What was known before is never given again: a controller that is told the same
+     * twice would take it for news.
+     *
+     * @param gauges in the order of the settings; empty where they are not known
+     * @param age microseconds since gauges were last known; 0 where these are of this moment
+     */
+    public record Sample(List<Double> gauges, long age) {
+        /** Copies the gauges. */
+        public Sample {
+            gauges = List.copyOf(gauges);
+        }
+
+        /**
+         * Gauges of this moment.
+         *
+         * @param gauges in the order of the settings
+         * @return the sample
+         */
+        public static Sample of(double... gauges) {
+            return new Sample(Arrays.stream(gauges).boxed().toList(), 0);
+        }
+
+        /**
+         * No gauges.
+         *
+         * @param age microseconds since they were last known
+         * @return the sample
+         */
+        public static Sample absent(long age) {
+            return new Sample(List.of(), age);
+        }
+
+        /**
+         * Whether gauges are known.
+         *
+         * @return true if so
+         */
+        public boolean known() {
+            return !gauges.isEmpty();
+        }
+    }
+
     /** Receives the events of one server. Every call carries the clock. */
     public interface Controller {
         /** The server has started; asked for once, before all else. */
@@ -232,8 +276,8 @@
         /** A run, or a replay, ended; it took so long where it ran, or 0 where that is not known. */
         void finished(long now, String id, Outcome outcome, long took);
 
-        /** A timer fired; gauges in the order of the settings. */
-        void timer(long now, String tag, double[] gauges);
+        /** A timer fired, with the gauges of this moment where they are known. */
+        void timer(long now, String tag, Sample sample);
 
         /**
          * The settings have changed. A class or a tenant at the place of one of the same name is the same; at the place
--- a/src/main/java/mothwing/adapter/Instance.java
+++ b/src/main/java/mothwing/adapter/Instance.java
@@ -7,6 +7,7 @@
 import mothwing.OverloadControl.Outcome;
 import mothwing.OverloadControl.Request;
 import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Sample;
 import mothwing.OverloadControl.Settings;
 import mothwing.OverloadControl.Tenant;
 import mothwing.settings.BadInput;
@@ -46,7 +47,7 @@
             case "StalledOnCall" -> controller.atCall(now, event.text("Job"));
             case "CallResult" -> controller.callEnded(now, event.text("Job"), outcome(event), event.whole("Rtt", 0));
             case "Finished" -> controller.finished(now, event.text("Job"), outcome(event), event.whole("Rtt", 0));
-            case "Fired" -> controller.timer(now, event.text("Tag", ""), event.numbers("Stats"));
+            case "Fired" -> controller.timer(now, event.text("Tag", ""), Sample.of(event.numbers("Stats")));
             case "Sigterm" -> controller.drain(now, event.whole("ValidUntil"));
             default -> throw new BadInput("field what: unknown event " + what);
         }
--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -18,6 +18,7 @@
 import mothwing.OverloadControl.Repeats;
 import mothwing.OverloadControl.Request;
 import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Sample;
 import mothwing.OverloadControl.Settings;
 
 /**
@@ -36,10 +37,8 @@
     private static final long CHECK_WAIT = 2000 * MILLI;
     private static final long CALL_SLACK = 20 * MILLI; // past its limit: the tier below says so itself, over the network
     private static final long MOST_AHEAD = 1000; // milliseconds that a gateway's clock may be ahead of ours
+    private static final String RUNNABLE = "runnable"; // the gauge of what wants a core
     private static final long WATCH = 20 * MILLI; // between looks at due times
-    private static final long LOST = 10_000 * MILLI; // past its due time a stopped run has ended, or never began
-
-    private static final String RESOLVE = "resolve"; // the echo behind all that is asked in doubt
 
     /** One event for the controller. */
     private interface Event {
@@ -62,11 +61,11 @@
     private final IdempotencyKeys keys = new IdempotencyKeys();
     private final Map<String, IdempotencyKeys.Entry> replays = new LinkedHashMap<>(); // by the repeat's id
     private Controller controller;
-    private double[] gauges;
+    private final RunReconciler reconciler;
+    private long sampledAt;
     private boolean batchAsked;
     private long lastBatch = Long.MIN_VALUE / 2;
-    private long polls;
-    private long answeredPolls;
+    private long checksAsked;
     private double said;
     private boolean checkCheap;
     private boolean checkGood = true;
@@ -95,7 +94,7 @@
         this.counters = counters;
         this.log = log;
         inForce.names().forEach(figures::know);
-        gauges = new double[settings.machine().gauges().size()];
+        reconciler = new RunReconciler(open, workers, counters, log, () -> told().machine().halting(), new Reconciled());
     }
 
     /**
@@ -111,9 +110,6 @@
             said = told().signals().freeValue() == FreeValue.SHARE ? 1 : 0;
         }
         inForce.names().forEach(figures::know);
-        if (gauges.length != settings.machine().gauges().size()) {
-            gauges = new double[settings.machine().gauges().size()];
-        }
         if (controller != null) {
             Settings now = inForce.settings();
             event((to, at) -> to.retuned(at, now));
@@ -284,7 +280,7 @@
         } else if (!workers.ready() || checks.size() >= MOST_CHECKS) {
             answer.accept(false);
         } else {
-            String echo = "c" + ++polls;
+            String echo = "c" + ++checksAsked;
             checks.put(echo, new Check(answer, timers.now() + CHECK_WAIT));
             workers.verify(echo);
         }
@@ -431,6 +427,7 @@
         }
         inForce.cold(fresh);
         controller = maker.apply(told(), this);
+        sampledAt = timers.now();
         log.line("ready cold=" + fresh + " age_ms=" + age / MILLI);
         controller.started(timers.now() - age);
         timers.at(timers.now() + WATCH, this::watch);
@@ -440,77 +437,39 @@
         onReady.run();
     }
 
-    /**
-     * The missed notices have been read. The last commands may have been lost with the link: those since the last
-     * poll that was answered are in doubt. A stop and a resumption are said again, which does no harm, and so is
-     * the start of what may be repeated or was never put on a link. What must run once is stopped first: the pool
-     * then says that it is stopped, and it goes on; or the pool has nothing to stop, and it is started for the
-     * first time ({@link #resolve}).
-     */
+    /** The missed notices have been read: what may have been lost with the link before is asked about. */
     public void caughtUp() {
-        boolean asked = false;
-        for (Exchange one : open.values()) {
-            if (one.inPool() && one.stopping()) {
-                asked |= doubt(one);
-            } else if (one.unsent()) {
-                goOn(one, one.result());
-            } else if (one.asked() != null) {
-                counters.add("relinked-at-call"); // nothing was said since it told of the call
-            } else if (one.supplied() && one.pollsBefore() >= answeredPolls) {
-                doubtSupplied(one);
-            } else if (one.inPool() && one.state() == Exchange.State.RUNNING && one.pollsBefore() >= answeredPolls) {
-                if (one.begun()) {
-                    one.resumed(polls);
-                    workers.proceed(one.arrival().id());
-                } else if (one.repeatable() || !one.handedOver()) {
-                    spawnAgain(one);
-                } else if (told().machine().halting() == Halting.SUSPEND) {
-                    asked |= doubt(one);
-                } // else a stop would throw its work away: it waits for its end, or its due time
-            }
-        }
-        if (asked) {
-            workers.poll(RESOLVE);
-        }
+        reconciler.caughtUp(timers.now());
     }
 
-    /**
-     * A result may have been lost with the link. It is not said again: the run may stand at its next call by now. What may
-     * be repeated is begun again where a stop throws its work away; any other waits for its end, or its due time.
-     */
-    private void doubtSupplied(Exchange one) {
-        if (one.repeatable() && told().machine().halting() == Halting.ABORT) {
-            halt(one.arrival().id());
+    private final class Reconciled implements RunReconciler.Actions {
+        @Override
+        public void startAgain(Exchange run) {
+            counters.add("spawned-again");
+            handOver(run);
         }
-    }
 
-    private boolean doubt(Exchange one) {
-        one.doubt(true);
-        workers.suspend(one.arrival().id());
-        return true;
-    }
+        @Override
+        public void deliverCallResult(Exchange run) {
+            goOn(run, run.result());
+        }
 
-    private void spawnAgain(Exchange one) {
-        counters.add("spawned-again");
-        handOver(one);
-    }
+        @Override
+        public void halt(Exchange run) {
+            Broker.this.halt(run.arrival().id());
+        }
 
-    /** The pool has read all that was asked in doubt: it has no run of what it did not say to be stopped. */
-    private void resolve() {
-        for (Exchange one : new ArrayList<>(open.values())) {
-            if (one.doubted() && one.owed()) {
-                one.doubt(false);
-                spawnAgain(one);
-            } else if (one.doubted()) {
-                finished(one.arrival().id(), Outcome.MOOT, 0, null);
-            }
+        @Override
+        public void giveUp(Exchange run) {
+            finished(run.arrival().id(), Outcome.MOOT, 0, null);
         }
     }
 
     /** The link to the pool has broken: timers do not wait for gauges any longer, and checks fail. */
     public void unlinked() {
+        reconciler.unlinked();
         for (String echo : new ArrayList<>(ticks.keySet())) {
-            tick(echo, gauges);
+            tick(echo, unknown());
         }
         for (String echo : new ArrayList<>(checks.keySet())) {
             verified(echo, false);
@@ -533,9 +492,9 @@
             return;
         }
         abandon(one);
-        if (outcome == Outcome.STOPPED && one.doubted() && one.owed() && !one.stopping()) {
+        if (outcome == Outcome.STOPPED && one.owed() && !one.stopping() && told().machine().halting() == Halting.SUSPEND) {
             one.stopped(true); // it did run, and was stopped only to find that out: the controller need not know
-            one.resumed(polls);
+            one.resumed(reconciler.polls());
             workers.proceed(id);
             return;
         }
@@ -600,7 +559,7 @@
     /** A run that stands at a call goes on with this, or without it for null, now or once the pool can be told. */
     private void goOn(Exchange one, byte[] result) {
         boolean onLink = workers.ready();
-        one.supplied(result, polls, onLink);
+        one.supplied(result, reconciler.polls(), onLink);
         if (onLink && result != null) {
             workers.supply(one.arrival().id(), result);
         } else if (onLink) {
@@ -622,15 +581,18 @@
      * @param meters the gauges
      */
     public void polled(String echo, double[] meters) {
-        if (meters.length == gauges.length) {
-            gauges = meters;
+        boolean whole = meters.length == told().machine().gauges().size();
+        if (whole) {
+            sampledAt = timers.now();
         }
-        if (echo.equals(RESOLVE)) {
-            resolve();
-        } else if (ticks.containsKey(echo) || echo.matches("t[0-9]{1,18}") && Long.parseLong(echo, 1, echo.length(), 10) <= polls) {
-            answeredPolls = Math.max(answeredPolls, Long.parseLong(echo, 1, echo.length(), 10));
-        }
-        tick(echo, gauges);
+        int runnable = told().machine().gauges().indexOf(RUNNABLE);
+        reconciler.answered(echo, whole && runnable >= 0 ? meters[runnable] : -1);
+        tick(echo, whole ? Sample.of(meters) : unknown());
+    }
+
+    /** No gauges of this moment are known; they are never those of an answer before. */
+    private Sample unknown() {
+        return Sample.absent(Math.max(0, timers.now() - sampledAt));
     }
 
     /**
@@ -646,10 +608,10 @@
         }
     }
 
-    private void tick(String echo, double[] meters) {
+    private void tick(String echo, Sample sample) {
         String tag = ticks.remove(echo);
         if (tag != null) {
-            event((to, at) -> to.timer(at, tag, meters));
+            event((to, at) -> to.timer(at, tag, sample));
         }
     }
 
@@ -693,11 +655,7 @@
         boolean due = false;
         List<Exchange> silent = new ArrayList<>();
         List<Exchange> overdue = new ArrayList<>();
-        List<Exchange> lost = new ArrayList<>();
         for (Exchange one : open.values()) {
-            if (!one.owed() && workers.ready() && now >= one.dueAt() + LOST) {
-                lost.add(one);
-            }
             due |= one.owed() && now >= one.dueAt() - WATCH;
             if (one.calling() && now >= one.callUntil()) {
                 silent.add(one);
@@ -716,12 +674,7 @@
             fail(one, "overdue");
             forgetUnlessRunning(one);
         }
-        for (Exchange one : lost) {
-            // Its start or its end was lost with a link: else it would take a place on the cores for ever.
-            counters.add("lost-runs");
-            log.line("lost-run id=" + one);
-            finished(one.arrival().id(), Outcome.MOOT, 0, null);
-        }
+        reconciler.watch(now);
         if (due) {
             event((to, at) -> { });
         }
@@ -772,7 +725,7 @@
 
     private void handOver(Exchange one) {
         keys.begins(one);
-        if (one.started(polls, workers.spawn(one))) {
+        if (one.started(reconciler.polls(), workers.spawn(one))) {
             figures.handedOver(one.arrival().kind());
         }
     }
@@ -786,7 +739,7 @@
             return;
         }
         if (one.state() == Exchange.State.PAUSED) {
-            one.resumed(polls);
+            one.resumed(reconciler.polls());
             workers.proceed(id);
         } else if (one.ran() && !one.repeatable()) {
             fail(one, "ran-before"); // a stop threw its work away: it may have had its effect
@@ -807,7 +760,7 @@
     public void halt(String id) {
         Exchange one = open.get(id);
         if (one != null && one.inPool() && !one.stopping()) {
-            one.stop();
+            one.stop(timers.now() + RunReconciler.STOP_AGAIN);
             counters.add("suspended");
             workers.suspend(id);
         }
@@ -841,19 +794,20 @@
         timers.at(at, () -> timerDue(tag));
     }
 
-    /** The gauges of the moment go with a timer; without a link those of the last answer do. */
+    /** The gauges of the moment go with a timer, or the age of the last ones that were known. */
     private void timerDue(String tag) {
         if (!workers.ready()) {
-            event((to, at) -> to.timer(at, tag, gauges));
+            Sample none = unknown();
+            event((to, at) -> to.timer(at, tag, none));
             return;
         }
-        String echo = "t" + ++polls;
+        String echo = reconciler.nextPoll();
         ticks.put(echo, tag);
         workers.poll(echo);
         timers.at(timers.now() + GAUGES_WAIT, () -> {
             if (ticks.containsKey(echo)) {
                 counters.add("gauges-late");
-                tick(echo, gauges);
+                tick(echo, unknown());
             }
         });
     }
--- a/src/main/java/mothwing/broker/Exchange.java
+++ b/src/main/java/mothwing/broker/Exchange.java
@@ -47,6 +47,8 @@
     private boolean supplied;
     private boolean unsent;
     private long callUntil;
+    private long stopAgainAt;
+    private long probeAt;
 
     Exchange(Arrival arrival, Caller caller, boolean repeatable, long readAt, long arrivedAt, long dueAt,
             int classPlace, int tenantPlace, long window) {
@@ -201,8 +203,27 @@
         doubted = now;
     }
 
-    void stop() {
+    /** Its run is to be stopped; said again from a time on where nothing came of it. */
+    void stop(long again) {
         stopping = true;
+        stopAgainAt = again;
+    }
+
+    long stopAgainAt() {
+        return stopAgainAt;
+    }
+
+    void stopAgainAt(long at) {
+        stopAgainAt = at;
+    }
+
+    /** From when on the pool may be asked again whether there is a run of it. */
+    long probeAt() {
+        return probeAt;
+    }
+
+    void probeAt(long at) {
+        probeAt = at;
     }
 
     /** Its run stands at a call, which asks for this. */
--- a/src/main/java/mothwing/lab/LateSeeing.java
+++ b/src/main/java/mothwing/lab/LateSeeing.java
@@ -11,6 +11,7 @@
 import mothwing.OverloadControl.Repeats;
 import mothwing.OverloadControl.Request;
 import mothwing.OverloadControl.RequestClass;
+import mothwing.OverloadControl.Sample;
 import mothwing.OverloadControl.Settings;
 
 /**
@@ -144,7 +145,7 @@
     }
 
     @Override
-    public void timer(long at, String tag, double[] gauges) {
+    public void timer(long at, String tag, Sample sample) {
         host.timer(at + LATE, "see");
         seen = open.values().stream().filter(one -> one.stand != Stand.HELD)
                 .mapToDouble(one -> one.work / 2).sum();
--- a/src/main/java/mothwing/pool/Pool.java
+++ b/src/main/java/mothwing/pool/Pool.java
@@ -21,8 +21,11 @@
     static final Set<String> NOTICES = Set.of("bound", "finished", "blocked", "polled", "verified", "unknown", "chatter");
 
     private static final long MILLI = 1000;
-    private static final long FIRST_WAIT = 20 * MILLI;
     private static final long LONGEST_WAIT = 500 * MILLI;
+    private static final long LEAST_WAIT = 5 * MILLI;
+    /** A link that lived for so long broke by itself; one that lived for less is one of a row. */
+    private static final long STEADY = 2000 * MILLI;
+    private static final int LIFE_TO_WAIT = 8; // a row of short links costs a ninth of the time at most
     private static final long LOOK = 250 * MILLI; // between looks at a silent link; a look later by as much stood still
     /** For so long a link may be silent behind a question, or unbound once the pool was up, before another is opened beside it. */
     static final long SILENT = 2000 * MILLI;
@@ -83,6 +86,9 @@
         boolean stoodStill = now - lookedAt > 2 * LOOK;
         lookedAt = now;
         timers.at(now + LOOK, this::look);
+        if (link != null) {
+            link.askAgain();
+        }
         if (everBound && !stoodStill && !dialing && link != null && link.silentFor(now) > patience) {
             counters.add("pool-silent-link");
             log.line("pool-silent ms=" + link.silentFor(now) / MILLI);
@@ -126,7 +132,7 @@
                 dial();
             }
         });
-        wait = Math.min(LONGEST_WAIT, Math.max(FIRST_WAIT, 2 * wait));
+        wait = Math.min(LONGEST_WAIT, Math.max(LEAST_WAIT, 2 * wait));
     }
 
     /** A link is open: it takes the place of the one before it, unless a later dial has overtaken it. */
@@ -193,7 +199,6 @@
 
     /** All that the pool had to say on a new link has been read. */
     void caughtUp() {
-        wait = 0;
         patience = SILENT;
     }
 
@@ -204,6 +209,11 @@
     void ended(PoolLink which) {
         if (link == which) {
             link = null;
+            if (which.caughtUp()) {
+                wait = waitAfter(timers.now() - which.openedAt());
+            }
+            log.line("pool-link-lost lived_ms=" + (timers.now() - which.openedAt()) / MILLI + " caught_up=" + which.caughtUp()
+                    + " next_ms=" + wait / MILLI);
             broker.unlinked();
             if (!dialing) {
                 again(dials);
@@ -211,6 +221,11 @@
         }
     }
 
+    /** How long to wait behind a good link of so long a life: none at first, ever longer in a row of short ones. */
+    private long waitAfter(long lived) {
+        return lived >= STEADY ? 0 : Math.max(LEAST_WAIT, Math.min(wait, lived / LIFE_TO_WAIT));
+    }
+
     @Override
     public boolean ready() {
         return link != null && link.ready();
--- a/src/main/java/mothwing/pool/PoolLink.java
+++ b/src/main/java/mothwing/pool/PoolLink.java
@@ -34,7 +34,9 @@
     private final int dial;
     private final Broker broker;
     private final Log log;
+    private final long openedAt;
     private boolean bound;
+    private boolean caughtUp;
     private int passedOver;
     private long waitsSince = NEVER;
 
@@ -44,6 +46,24 @@
         this.dial = dial;
         this.broker = broker;
         this.log = log;
+        openedAt = pool.now();
+    }
+
+    /** When it was opened. */
+    long openedAt() {
+        return openedAt;
+    }
+
+    /** Whether all that was missed before it has been read. */
+    boolean caughtUp() {
+        return caughtUp;
+    }
+
+    /** Asks again whether all that was missed has been read, where the pool has not answered yet. */
+    void askAgain() {
+        if (ready() && !caughtUp) {
+            poll(CAUGHT_UP);
+        }
     }
 
     @Override
@@ -121,10 +141,12 @@
             case "finished" -> finished(notice);
             case "blocked" -> broker.blocked(notice.text("uid"), decoded(notice.text("content", "")));
             case "polled" -> {
-                if (notice.text("echo", "").equals(CAUGHT_UP)) {
+                if (!caughtUp) { // any answer: all missed notices come before it
+                    caughtUp = true;
                     pool.caughtUp();
                     broker.caughtUp();
-                } else {
+                }
+                if (!notice.text("echo", "").equals(CAUGHT_UP)) {
                     broker.polled(notice.text("echo", ""), notice.numbers("meters"));
                 }
             }
--- a/src/test/java/mothwing/lab/OverloadTest.java
+++ b/src/test/java/mothwing/lab/OverloadTest.java
@@ -5,7 +5,10 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import mothwing.lab.History.Crowd;
 import mothwing.lab.History.End;
 import mothwing.lab.Oracles.Breach;
@@ -68,6 +71,77 @@
         }
     }
 
+    private static final String CROWD = """
+            trial(name = "crowd", seconds = 6, seed = 4)
+            fleet(servers = 1, cores = 6, work_ms = 175, spread = 0.7, deadline_ms = 2000, memory_runs = 15, halt = "%s")
+            traffic(rate = 86, orders = 0.3, gateways = 4, retries = 0, patience_ms = 2200)
+            """;
+    private static final double MOST_CROWD = 1.5; // of that without a fault
+    private static final double LEAST_SERVED = 0.75; // of what is served without a fault
+
+    /** Resets of the link to the pool, spans apart that a seed draws within bounds in milliseconds. */
+    private static String drawnResets(int least, int most) {
+        Random random = new Random(9);
+        StringBuilder all = new StringBuilder();
+        for (double at = 0.1; at < 5.5; at += (least + random.nextInt(most - least)) / 1000.0) {
+            all.append(resets(at, at + 0.0001, 1));
+        }
+        return all.toString();
+    }
+
+    /** The link's faults that a server has to live with at 2.5 times its load, by name. */
+    private static Map<String, String> linkFaults() {
+        Map<String, String> all = new LinkedHashMap<>();
+        all.put("reset every 30 to 400 ms", drawnResets(30, 400));
+        all.put("reset every 5 to 60 ms", drawnResets(5, 60));
+        all.put("95% of polls unanswered", "at(0.05, mute([\"s1\"], share = 0.95, seconds = 5.5))\n");
+        return all;
+    }
+
+    private interface Play {
+        History of(Trial trial) throws Exception;
+    }
+
+    /** No fault of the link makes the crowd much larger or costs much service, and nothing is left behind at the pool. */
+    private static void compare(String halt, Play play) throws Exception {
+        String head = String.format(CROWD, halt);
+        Trial calm = trial(head, "");
+        History usual = play.of(calm);
+        assertEquals(List.of(), untimed(calm, usual), halt + ", no fault");
+        for (Map.Entry<String, String> fault : linkFaults().entrySet()) {
+            Trial trial = trial(head, fault.getValue());
+            History history = play.of(trial);
+            String what = halt + ", " + fault.getKey() + ": mean " + Oracles.worstMean(history.crowds) + " where "
+                    + Oracles.worstMean(usual.crowds) + " is usual, served " + served(history) + " of " + served(usual);
+            System.out.println(what);
+            assertEquals(List.of(), untimed(trial, history), what);
+            assertTrue(Oracles.worstMean(history.crowds) < MOST_CROWD * Math.max(6, Oracles.worstMean(usual.crowds)), what);
+            assertTrue(served(history) >= LEAST_SERVED * served(usual), what);
+            assertEquals(0, history.crowds.get(history.crowds.size() - 1).kept(), what + ", left at the pool");
+        }
+    }
+
+    private static long served(History history) {
+        return history.calls.stream().filter(call -> call.end() == End.SERVED).count();
+    }
+
+    @Test
+    void aFaultyLinkToThePoolDoesNotCrowdTheMachine() throws Exception {
+        int[] number = {0};
+        compare("suspend", trial -> {
+            try (ProcessStage stage = new ProcessStage(folder.resolve("play" + number[0]++))) {
+                return stage.play(trial, line -> { });
+            }
+        });
+    }
+
+    @Test
+    void aFaultyLinkToThePoolDoesNotCrowdTheMachineWhateverAStopDoes() throws Exception {
+        for (String halt : List.of("suspend", "abort", "silent")) {
+            compare(halt, trial -> new SimulationStage().play(trial, line -> { }));
+        }
+    }
+
     /** The oracle's own arithmetic, against a crowd of which the mean is known. */
     @Test
     void theWorstMeanOfACrowdIsThatOfItsWorstSpan() {
