--- a/src/main/java/mothwing/lab/Guarded.java
+++ b/src/main/java/mothwing/lab/Guarded.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -32,9 +33,16 @@
      * @throws IOException where it cannot be started
      */
     Guarded(List<String> command, Consumer<String> log) throws IOException {
+        this(command, Map.of(), log);
+    }
+
+    /** The same with further variables in its environment. */
+    Guarded(List<String> command, Map<String, String> environment, Consumer<String> log) throws IOException {
         List<String> all = new ArrayList<>(List.of("/bin/sh", "-c", GUARD, "guard"));
         all.addAll(command);
-        shell = new ProcessBuilder(all).redirectErrorStream(true).start();
+        ProcessBuilder builder = new ProcessBuilder(all).redirectErrorStream(true);
+        builder.environment().putAll(environment);
+        shell = builder.start();
         CompletableFuture<Long> told = new CompletableFuture<>();
         Thread reader = new Thread(() -> read(told, log), "log-of-" + shell.pid());
         reader.setDaemon(true);
--- a/src/main/java/mothwing/lab/ProcessStage.java
+++ b/src/main/java/mothwing/lab/ProcessStage.java
@@ -96,6 +96,7 @@
 
     private final Path folder;
     private final String program;
+    private final Map<String, String> environment;
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final ExecutorService hands = Executors.newCachedThreadPool(work -> daemon(work, "rig-hand"));
@@ -126,8 +127,14 @@
 
     /** Makes one that plays another main class, which is started as {@code serve --config FILE}. */
     ProcessStage(Path folder, String program) {
+        this(folder, program, Map.of());
+    }
+
+    /** The same, with further variables in the environment of each server. */
+    ProcessStage(Path folder, String program, Map<String, String> environment) {
         this.folder = folder;
         this.program = program;
+        this.environment = environment;
     }
 
     private static Thread daemon(Runnable work, String name) {
@@ -294,7 +301,7 @@
         Served process = new Served(machine.disk, new Served.Place(machine.name,
                 new InetSocketAddress(address(1, machine.number), Served.number(machine.listen)),
                 new InetSocketAddress(address(1, machine.number), Served.number(door)), poolDoor, machine.announce),
-                trial.fleet(), program, line -> append(log, line));
+                trial.fleet(), program, environment, line -> append(log, line));
         history.lives.add(life);
         Running running = new Running(process, pool, door, life);
         process.ended().thenAccept(status -> {
--- a/src/main/java/mothwing/lab/Served.java
+++ b/src/main/java/mothwing/lab/Served.java
@@ -13,6 +13,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import mothwing.settings.Addresses;
@@ -49,17 +50,23 @@
         String text = config(port, door, pool).replaceFirst("\\{", "{\"ledger\":\"" + Addresses.text(ledger) + "\",")
                 .replace("\"Extra\":{", "\"Extra\":{\"DependsOn\":\"tier\",\"CallsByClass\":[true,true],");
         return new Served(Files.writeString(folder.resolve("config-" + door + ".json"), text), local(door), "mothwing.Main", null,
-                line -> { });
+                Map.of(), line -> { });
     }
 
     /** Starts one in a folder that is its machine's disk. */
     Served(Path folder, Place place, Trial.Fleet fleet, String program, Consumer<String> log) throws IOException {
-        this(folder, place, fleet, program, null, log);
+        this(folder, place, fleet, program, (Path) null, log);
     }
 
     /** The same, with a script of our own settings, or null. */
     Served(Path folder, Place place, Trial.Fleet fleet, String program, Path site, Consumer<String> log) throws IOException {
-        this(written(folder, place, fleet), place.door(), program, site, log);
+        this(written(folder, place, fleet), place.door(), program, site, Map.of(), log);
+    }
+
+    /** The same with further variables in its environment. */
+    Served(Path folder, Place place, Trial.Fleet fleet, String program, Map<String, String> environment, Consumer<String> log)
+            throws IOException {
+        this(written(folder, place, fleet), place.door(), program, null, environment, log);
     }
 
     private static Path written(Path folder, Place place, Trial.Fleet fleet) throws IOException {
@@ -67,13 +74,14 @@
         return Files.writeString(folder.resolve("config-" + place.door().getPort() + ".json"), config(place, fleet));
     }
 
-    private Served(Path file, InetSocketAddress door, String program, Path site, Consumer<String> log) throws IOException {
+    private Served(Path file, InetSocketAddress door, String program, Path site, Map<String, String> environment,
+            Consumer<String> log) throws IOException {
         this.door = door;
         List<String> words = new ArrayList<>(List.of("serve", "--config", file.toString()));
         if (site != null) {
             words.addAll(List.of("--site", site.toString()));
         }
-        process = new Guarded(Guarded.java(OPTIONS, program, words.toArray(String[]::new)), line -> {
+        process = new Guarded(Guarded.java(OPTIONS, program, words.toArray(String[]::new)), environment, line -> {
             if (lines.size() < MOST_LINES) {
                 lines.add(line);
             }
