--- a/src/main/java/mothwing/dns/server/DnsFront.java
+++ b/src/main/java/mothwing/dns/server/DnsFront.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -155,7 +156,7 @@
         log.line("dns-ready listen=" + address + " zones=" + engine.zones().size());
     }
 
-    private void bound(ChannelFuture listening) throws IOException {
+    private void bound(Future<?> listening) throws IOException {
         if (!listening.awaitUninterruptibly().isSuccess()) {
             throw new IOException("cannot listen on " + site.listen() + ": " + listening.cause().getMessage());
         }
--- a/src/main/java/mothwing/net/Dialer.java
+++ b/src/main/java/mothwing/net/Dialer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.function.Supplier;
 
@@ -35,7 +34,7 @@
 
     @Override
     public void dial(Supplier<? extends Connection> maker, Runnable failed) {
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        new Bootstrap().group(loop).channelFactory(RetryingSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, MOST_WAIT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOCATOR, allocator)
@@ -46,7 +45,7 @@
                     }
                 }).connect(address).addListener(done -> {
                     if (!done.isSuccess()) {
-                        failed.run();
+                        loop.execute(failed); // a socket that cannot be made fails on another thread
                     }
                 });
     }
--- a/src/main/java/mothwing/net/Listener.java
+++ b/src/main/java/mothwing/net/Listener.java
@@ -11,10 +11,12 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.netty.util.concurrent.Promise;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
@@ -32,6 +34,11 @@
  * nothing is open: of a stranger, which never asked anything whole, before that of a gateway.
  */
 public final class Listener {
+    /** Accepts in a row that may fail, or find nobody, before it is believed. */
+    private static final int MOST_FAILED = 10;
+    /** Milliseconds between tries to listen where the system has no room for a moment. */
+    private static final int LISTEN_AGAIN_MS = 50;
+    private static final int MOST_LISTENS = 60;
     private static final int BACKLOG = 512;
     private static final int LOW_WATER = 32 << 10;
     private static final int HIGH_WATER = 64 << 10;
@@ -53,18 +60,38 @@
 
     /** A listening socket that can be closed without losing who waits at it. */
     private final class Entrance extends NioServerSocketChannel {
+        private int failedInARow;
+
         /**
-         * Where no descriptor is left, below the bound as it may be, somebody gives way. Who waits is accepted a second later:
-         * the runtime rests for so long after a failure, so that nothing turns in circles.
+         * Where no descriptor is left, below the bound as it may be, somebody gives way, and who waits is accepted a second later:
+         * the runtime rests for so long after a failure, so that nothing turns in circles. Any other failure of a moment costs
+         * one turn of the loop.
          */
         @Override
         protected int doReadMessages(List<Object> accepted) throws Exception {
             try {
-                return super.doReadMessages(accepted);
+                SocketChannel one = javaChannel().accept();
+                failedInARow = 0;
+                return one == null || !taken(one, accepted) ? 0 : 1;
             } catch (IOException none) {
                 counters.add(side + "-not-accepted");
-                table.evict();
-                throw none;
+                if (RetryingSocketChannel.outOfDescriptors(none)) {
+                    table.evict();
+                    throw none;
+                }
+                if (++failedInARow > MOST_FAILED) {
+                    throw none;
+                }
+                return 0;
+            }
+        }
+
+        private boolean taken(SocketChannel one, List<Object> accepted) throws IOException {
+            try {
+                return accepted.add(new RetryingSocketChannel(this, one));
+            } catch (RuntimeException gone) { // it was reset meanwhile
+                one.close();
+                return false;
             }
         }
 
@@ -78,17 +105,33 @@
             deregister().addListener(out -> eventLoop().schedule(() -> {
                 List<SocketChannel> waiting = new ArrayList<>();
                 try (ServerSocketChannel last = javaChannel()) { // closed before anything is made of who waited
-                    for (SocketChannel one = last.accept(); one != null; one = last.accept()) {
-                        waiting.add(one);
-                    }
+                    takeAll(last, waiting);
                 } catch (IOException over) {
                     counters.add(side + "-not-emptied"); // no descriptor is left: the close turns away who waits
                 }
-                waiting.forEach(one -> pipeline().fireChannelRead(new NioSocketChannel(this, one)));
+                waiting.forEach(one -> pipeline().fireChannelRead(new RetryingSocketChannel(this, one)));
                 close();
                 then.run();
             }, 1, TimeUnit.MILLISECONDS));
         }
+
+        /** Takes all that waits; an accept may be interrupted or fail for a moment with others still waiting behind it. */
+        private void takeAll(ServerSocketChannel last, List<SocketChannel> waiting) throws IOException {
+            for (int inARow = 0; inARow < MOST_FAILED;) {
+                try {
+                    SocketChannel one = last.accept();
+                    inARow = one == null ? inARow + 1 : 0;
+                    if (one != null) {
+                        waiting.add(one);
+                    }
+                } catch (IOException failed) {
+                    inARow++;
+                    if (RetryingSocketChannel.outOfDescriptors(failed) && inARow == MOST_FAILED) {
+                        throw failed;
+                    }
+                }
+            }
+        }
     }
 
     /**
@@ -132,9 +175,10 @@
      * @param loop the thread of it all
      * @param allocator gives buffers
      * @param address where to listen
-     * @return done once it listens
+     * @return done once it listens, or cannot: at once where the address is taken, after some seconds of tries where the system
+     *     has no room
      */
-    public ChannelFuture listen(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address) {
+    public Future<Void> listen(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address) {
         ServerBootstrap bootstrap = new ServerBootstrap().group(loop).channelFactory(Entrance::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -154,12 +198,25 @@
             bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                     .option(ChannelOption.AUTO_READ, false); // until it knows who else is there
         }
+        Promise<Void> result = loop.newPromise();
+        bind(loop, bootstrap, address, result, MOST_LISTENS);
+        return result;
+    }
+
+    private void bind(EventLoop loop, ServerBootstrap bootstrap, InetSocketAddress address, Promise<Void> result, int tries) {
         ChannelFuture bound = bootstrap.bind(address);
-        channel = (Entrance) bound.channel();
-        if (shared) {
-            bound.addListener(done -> look());
-        }
-        return bound;
+        bound.addListener(done -> loop.execute(() -> {
+            if (done.isSuccess()) {
+                channel = (Entrance) bound.channel();
+                result.setSuccess(null);
+                look();
+            } else if (done.cause() instanceof BindException || tries <= 1) {
+                result.setFailure(done.cause());
+            } else {
+                counters.add(side + "-listened-again");
+                loop.schedule(() -> bind(loop, bootstrap, address, result, tries - 1), LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        }));
     }
 
     private int bound() {
--- a/src/main/java/mothwing/peer/Peer.java
+++ b/src/main/java/mothwing/peer/Peer.java
@@ -17,7 +17,6 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -36,6 +35,7 @@
 import mothwing.member.Pace;
 import mothwing.member.State;
 import mothwing.member.View;
+import mothwing.net.RetryingSocketChannel;
 import mothwing.settings.Addresses;
 import mothwing.settings.BadInput;
 import mothwing.settings.Site;
@@ -224,7 +224,7 @@
         }
         counters.add("peer-streams-out");
         counters.add("peer-bytes-out", bytes.length + LENGTH);
-        ChannelFuture tried = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture tried = new Bootstrap().group(loop).channelFactory(RetryingSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInboundHandlerAdapter())
                 .connect(to, new InetSocketAddress(fleet.listen().getAddress(), 0));
--- a/src/main/java/mothwing/server/Drain.java
+++ b/src/main/java/mothwing/server/Drain.java
@@ -6,16 +6,17 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
 import java.net.SocketAddress;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import mothwing.OverloadControl.RequestClass;
 import mothwing.broker.Broker;
 import mothwing.broker.Log;
 import mothwing.broker.Timers;
 import mothwing.net.Listener;
 import mothwing.net.Reason;
+import mothwing.net.RetryingSocketChannel;
 
 /**
  * The way out of a running server: it stops listening, finds out whether another process takes clients at its address,
@@ -31,6 +32,8 @@
     private static final long UPGRADE_LONGEST = 3000 * MILLI; // an upgrade is cut off after the longest deadline,
     private static final long UPGRADE_MORE = 700 * MILLI; // counted as 3 s where it is longer, and this
     private static final int PROBE_MS = 100; // a full queue lets an attempt wait; nobody there refuses at once
+    private static final int PROBE_AGAIN_MS = 10;
+    private static final int MOST_PROBES = 8;
 
     private final EventLoop loop;
     private final Timers timers;
@@ -82,7 +85,7 @@
             if (--open > 0) {
                 return;
             } else if (shared) {
-                probe(address, noticeAt, config);
+                probe(address, noticeAt, config, MOST_PROBES);
             } else {
                 go(noticeAt, false, config);
             }
@@ -90,15 +93,26 @@
     }
 
     /** Whoever accepts a connection at the address that this process has just left takes its clients. */
-    private void probe(SocketAddress address, long noticeAt, Config config) {
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+    private void probe(SocketAddress address, long noticeAt, Config config, int tries) {
+        new Bootstrap().group(loop).channelFactory(RetryingSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, PROBE_MS)
-                .handler(new ChannelInboundHandlerAdapter()).connect(address).addListener(tried -> {
-                    ((ChannelFuture) tried).channel().close();
-                    boolean refused = tried.cause() instanceof ConnectException
-                            && !(tried.cause() instanceof ConnectTimeoutException);
-                    go(noticeAt, !refused, config);
-                });
+                .handler(new ChannelInboundHandlerAdapter()).connect(address)
+                .addListener(tried -> loop.execute(() -> probed((ChannelFuture) tried, address, noticeAt, config, tries)));
+    }
+
+    /** A socket that could not be made for a moment says nothing of who takes clients. */
+    private void probed(ChannelFuture tried, SocketAddress address, long noticeAt, Config config, int tries) {
+        boolean timedOut = tried.cause() instanceof ConnectTimeoutException;
+        boolean refused = tried.cause() instanceof ConnectException && !timedOut;
+        boolean unknown = tried.cause() != null && !refused && !timedOut;
+        if (tried.isSuccess()) {
+            tried.channel().close();
+        }
+        if (unknown && tries > 1) {
+            loop.schedule(() -> probe(address, noticeAt, config, tries - 1), PROBE_AGAIN_MS, TimeUnit.MILLISECONDS);
+        } else {
+            go(noticeAt, !refused && !unknown, config);
+        }
     }
 
     private void go(long noticeAt, boolean handover, Config config) {
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -2,9 +2,9 @@
 
 import com.google.gson.Gson;
 import io.netty.buffer.PooledByteBufAllocator;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
@@ -168,7 +168,7 @@
 
     private void listenNow(List<Front> all) throws IOException {
         for (Front one : all) {
-            ChannelFuture bound = one.listener().listen(loop, allocator, one.address()).awaitUninterruptibly();
+            Future<Void> bound = one.listener().listen(loop, allocator, one.address()).awaitUninterruptibly();
             if (!bound.isSuccess()) {
                 failed = true;
                 ended.countDown();
