Claim each run of a guarded request among the processes of an upgrade

Change: where there is an operators' door a table of claims is mapped by all processes at the address (store.ClaimTable: fixed 196 kB, kernel's lock, ages by the monotonic clock, names the boot). What the other holds fails as ran-beside, an unknown holder as claim-unknown, a full table refuses. Starts that the broker does not carry out are told to the controller as ended: they held a place in its book until their due time. Not taken: a file a key (4 kB each), a socket between the two (the old one may stand still as it is asked).

--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -52,6 +52,7 @@
     private final Workers workers;
     private final Timers timers;
     private Calls below = Calls.NONE;
+    private RunClaims claims = RunClaims.ALONE;
     private final Counters counters;
     private final Log log;
     private final Map<String, Exchange> open = new LinkedHashMap<>();
@@ -161,6 +162,15 @@
         below = tier;
     }
 
+    /**
+     * Says with whom runs of guarded requests are shared.
+     *
+     * @param shared grants them, among all processes at this address
+     */
+    public void claimWith(RunClaims shared) {
+        claims = shared;
+    }
+
     // what fronts bring
 
     /**
@@ -757,16 +767,39 @@
             forgetUnlessRunning(one);
         } else if (keys.ranBefore(one)) {
             fail(one, "ran-before"); // whatever the controller says: a repeat is answered from the run there was
-            open.remove(id);
+            notStarted(id);
         } else if (!drainState.mayRun(one.readAt())) {
             refuse(one, "drained", false, drainState.advice(longestAdvice()) / MILLI);
-            open.remove(id);
+            notStarted(id);
+        } else if (!claimed(one)) {
+            notStarted(id);
         } else {
             counters.add("spawned");
             handOver(one);
         }
     }
 
+    /** The controller counts what it starts as running until it hears of an end. */
+    private void notStarted(String id) {
+        open.remove(id);
+        event((to, at) -> to.finished(at, id, Outcome.MOOT, 0));
+    }
+
+    /** Whether this process may run a guarded request; where it may not, its caller has been told. */
+    private boolean claimed(Exchange one) {
+        if (!one.guarded()) {
+            return true;
+        }
+        long span = one.arrivedAt() + one.window() + IdempotencyKeys.READ_LATE - timers.now();
+        RunClaims.Claim claim = claims.claim(IdempotencyKeys.key(one), span);
+        switch (claim) {
+            case HELD, UNKNOWN -> fail(one, claim == RunClaims.Claim.HELD ? "ran-beside" : "claim-unknown");
+            case FULL -> refuse(one, "keys-full", false, longestAdvice() / MILLI);
+            default -> { }
+        }
+        return claim == RunClaims.Claim.GRANTED;
+    }
+
     @Override
     public void halt(String id) {
         Exchange one = open.get(id);
--- a/src/main/java/mothwing/broker/IdempotencyKeys.java
+++ b/src/main/java/mothwing/broker/IdempotencyKeys.java
@@ -19,7 +19,8 @@
     static final int MOST_BYTES = 6 << 20;
 
     private static final int LARGEST = 4 << 10; // a result, by the protocol
-    private static final long READ_LATE = 10_000_000; // microseconds past its window in which a repeat may still be read
+    /** Microseconds past its window in which a repeat may still be read. */
+    static final long READ_LATE = 10_000_000;
 
     /** A try and its run. */
     static final class Entry {
@@ -74,7 +75,8 @@
     private final Map<String, Entry> all = new LinkedHashMap<>();
     private int bytes;
 
-    private static String key(Exchange one) {
+    /** The key of a try with all that it belongs to. */
+    static String key(Exchange one) {
         return one.arrival().tenant() + '\n' + one.arrival().kind() + '\n' + one.arrival().idempotencyKey();
     }
 
--- a/src/main/java/mothwing/server/Server.java
+++ b/src/main/java/mothwing/server/Server.java
@@ -7,6 +7,8 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,18 +28,20 @@
 import mothwing.broker.Broker;
 import mothwing.broker.Counters;
 import mothwing.broker.Log;
+import mothwing.broker.RunClaims;
 import mothwing.fastcgi.FastCgiConnection;
 import mothwing.ledger.Ledger;
 import mothwing.management.DoorConnection;
 import mothwing.management.Operations;
 import mothwing.net.Connection;
 import mothwing.net.Dialer;
+import mothwing.net.FairReads;
 import mothwing.net.Listener;
 import mothwing.net.Reason;
-import mothwing.net.FairReads;
 import mothwing.peer.Peer;
 import mothwing.pool.Pool;
 import mothwing.settings.Site;
+import mothwing.store.ClaimTable;
 
 /** One shop server: the parts, wired together on one event loop, from its start to its end. */
 public final class Server implements Service {
@@ -46,6 +50,7 @@
     private static final int MOST_OPERATORS = 16;
     private static final long PATIENCE = 2500 * MILLI; // some write for 2 s; bad clients are owed an end within 3 s
     private static final long DOOR_PATIENCE = 10_000 * MILLI; // operators may type; others make room at the bound
+    private static final Path BOOT_ID = Path.of("/proc/sys/kernel/random/boot_id");
     private static final int PAGE = 8192;
     private static final int CHUNK_ORDER = 5; // chunks of 256 KiB
 
@@ -145,6 +150,7 @@
             Operations operations = new Operators();
             door = listener("management", () -> new DoorConnection(operations, log, counters), MOST_OPERATORS,
                     DOOR_PATIENCE);
+            shareClaims();
             listenNow(List.of(new Front(door, config.management())));
             broker.whenReady(() -> listenLater(List.copyOf(fronts)));
         }
@@ -162,6 +168,23 @@
                 + " stop_ms=" + config.stopMs());
     }
 
+    /** Another process may serve at the same address: each run of a guarded request is claimed in a table that both map. */
+    private void shareClaims() {
+        Path file = Path.of(System.getProperty("java.io.tmpdir"), "mothwing-claims-" + config.name());
+        try {
+            long boot = Files.readString(BOOT_ID).strip().hashCode();
+            ClaimTable table = ClaimTable.open(file, new SecureRandom().nextLong(), boot, () -> System.nanoTime() / MILLI);
+            broker.claimWith((key, span) -> switch (table.claim(key, span)) {
+                case GRANTED -> RunClaims.Claim.GRANTED;
+                case HELD -> RunClaims.Claim.HELD;
+                case FULL -> RunClaims.Claim.FULL;
+                case UNKNOWN -> RunClaims.Claim.UNKNOWN;
+            });
+        } catch (IOException | RuntimeException none) {
+            log.line("no-shared-claims file=" + file + " what=\"" + none.getMessage() + "\"");
+        }
+    }
+
     private Listener listener(String side, Supplier<Connection> maker, int most, long patience) {
         return new Listener(side, maker, most, patience, timers, counters);
     }
--- a/src/test/java/mothwing/broker/BrokerTest.java
+++ b/src/test/java/mothwing/broker/BrokerTest.java
@@ -475,6 +475,20 @@
                 Arrival.NOT_TOLD, new byte[] {(byte) body}), caller());
     }
 
+    /** Guards against a run beside that of another process at the same address, and against a refusal of what may have run there. */
+    @Test
+    void aGuardedRequestThatAnotherProcessHoldsIsNotRunHere() {
+        guarded(null);
+        for (RunClaims.Claim claim : RunClaims.Claim.values()) {
+            stand.broker.claimWith((key, span) -> claim);
+            guarded(claim.ordinal() + 1, claim.name(), 0, "one");
+            stand.pass(10_000);
+        }
+        stand.finish(Stand.id(RunClaims.Claim.GRANTED.ordinal() + 1), Outcome.GOOD);
+        assertEquals(List.of("failed ran-beside", "refused false 1000", "failed claim-unknown", "served"), answers);
+        assertEquals(1, stand.spawns.size());
+    }
+
     private Exchange guarded(int number) {
         Exchange one = guarded(number, "k", 0, "one");
         stand.pass(10_000);
