--- a/src/main/java/mothwing/cli/Commands.java
+++ b/src/main/java/mothwing/cli/Commands.java
@@ -64,14 +64,15 @@
                 Command.required("zone", "NAME", "the zone's name"),
                 Command.required("key", "NAME:FILE", "the key and the file with its secret in base64")));
         Option report = option("r", "report", "DIR", "where to write the history and the page");
+        Option environment = option("e", "server-env", "NAME=VALUE", "a variable in the environment of each server; may be given again");
         add(new Command("demo", "play a built-in trial: three servers, one killed, one link cut",
                 (line, to) -> Trials.demo(path(line, "report"), to.out()), report));
         add(new Command("trial run", "FILE", "play the trial of a script, and judge it", List.of(
                 option("s", "seed", "N", "in place of the script's"), Command.mark("simulate", "on virtual time"),
-                option("n", "seeds", "K", "so many seeds in turn"), report),
+                option("n", "seeds", "K", "so many seeds in turn"), report, environment),
                 (line, to) -> Trials.run(Path.of(line.getArgList().get(0)), asked(line), to.out())));
         add(new Command("trial shrink", "FILE", "make a failing trial smaller; prints a script that fails alike", List.of(
-                option("s", "seed", "N", "in place of the script's"), Command.mark("simulate", "on virtual time")),
+                option("s", "seed", "N", "in place of the script's"), Command.mark("simulate", "on virtual time"), environment),
                 (line, to) -> Trials.shrink(Path.of(line.getArgList().get(0)), asked(line), to.out())));
         Option door = option("s", "server", "HOST:PORT", "where its operators' door is; else as EDGE_MANAGEMENT says");
         add(new Command("members show", "what a running shop server holds of its fleet",
@@ -106,7 +107,20 @@
     private static Trials.Asked asked(CommandLine line) throws IOException {
         return new Trials.Asked(line.hasOption("seed") ? number(line, "seed", 0, Long.MAX_VALUE) : null,
                 line.hasOption("simulate"), line.hasOption("seeds") ? (int) number(line, "seeds", 1, 1_000_000) : 1,
-                path(line, "report"));
+                path(line, "report"), environment(line));
+    }
+
+    private static Map<String, String> environment(CommandLine line) throws IOException {
+        Map<String, String> all = new LinkedHashMap<>();
+        String[] given = line.hasOption("server-env") ? line.getOptionValues("server-env") : new String[0];
+        for (String one : given) {
+            int equals = one.indexOf('=');
+            if (equals < 1) {
+                throw new IOException("option --server-env: \"" + one + "\" is not NAME=VALUE");
+            }
+            all.put(one.substring(0, equals), one.substring(equals + 1));
+        }
+        return all;
     }
 
     private static long number(CommandLine line, String option, long least, long most) throws IOException {
--- a/src/main/java/mothwing/lab/SimulationStage.java
+++ b/src/main/java/mothwing/lab/SimulationStage.java
@@ -290,6 +290,7 @@
                 if (Links.touches(fault, one.gateway, name) || Links.touches(fault, name, one.gateway)) {
                     open.remove(one.ask.trace());
                     one.tell(Wire.Reply.bare(End.LOST));
+                    one.severed = true;
                     run(starts(), () -> broker.gone(one.exchange));
                 }
             }
@@ -303,6 +304,7 @@
         final Wire.Ask ask;
         final Consumer<Wire.Reply> then;
         Exchange exchange;
+        boolean severed;
 
         Open(String gateway, Machine machine, Wire.Ask ask, Consumer<Wire.Reply> then) {
             this.gateway = gateway;
@@ -315,9 +317,12 @@
             net.send(machine.name, gateway, () -> then.accept(reply));
         }
 
+        /** What a server that stood still says on a connection that was severed meanwhile reaches nobody. */
         private void answer(Wire.Reply reply) {
             machine.open.remove(ask.trace());
-            tell(reply);
+            if (!severed) {
+                tell(reply);
+            }
         }
 
         @Override
--- a/src/main/java/mothwing/lab/Trials.java
+++ b/src/main/java/mothwing/lab/Trials.java
@@ -38,8 +38,13 @@
      * @param simulate whether on virtual time
      * @param seeds how many seeds in turn
      * @param report the folder of the results, or null for none
+     * @param environment further variables in the environment of each server that is a process
      */
-    public record Asked(Long seed, boolean simulate, int seeds, Path report) {
+    public record Asked(Long seed, boolean simulate, int seeds, Path report, Map<String, String> environment) {
+        /** Copies the environment. */
+        public Asked {
+            environment = Map.copyOf(environment);
+        }
     }
 
     /**
@@ -66,7 +71,7 @@
      * @throws InterruptedException where the wait is broken off
      */
     public static int demo(Path report, PrintStream out) throws IOException, InterruptedException {
-        return run(TrialScript.read("demo.star", (name, most) -> DEMO), new Asked(null, false, 1, report), out);
+        return run(TrialScript.read("demo.star", (name, most) -> DEMO), new Asked(null, false, 1, report, Map.of()), out);
     }
 
     private static int run(Trial given, Asked asked, PrintStream out) throws IOException, InterruptedException {
@@ -80,7 +85,7 @@
                 out.println("trial " + trial.name() + ", seed " + trial.seed() + (asked.simulate() ? ", simulated" : ""));
             }
             History history = asked.simulate() ? new SimulationStage().play(trial, line -> { })
-                    : play(trial, out, report);
+                    : play(trial, out, report, asked.environment());
             Verdict verdict = Oracles.judge(trial, history);
             if (!brief) {
                 print(trial, history, verdict, out);
@@ -114,30 +119,31 @@
     public static int shrink(Path file, Asked asked, PrintStream out) throws IOException, InterruptedException {
         Trial given = TrialScript.read(file);
         Trial trial = (asked.seed() == null ? given : given.withSeed(asked.seed())).settled();
-        Verdict first = judged(trial, asked.simulate());
+        Verdict first = judged(trial, asked);
         if (first.breaches().isEmpty()) {
             out.println("# all rules held: there is nothing to shrink");
             return 0;
         }
         String rule = first.breaches().get(0).rule();
-        Trial small = Shrinker.shrink(trial, one -> judged(one, asked.simulate()).breaches().stream()
+        Trial small = Shrinker.shrink(trial, one -> judged(one, asked).breaches().stream()
                 .anyMatch(breach -> breach.rule().equals(rule)), asked.simulate() ? MOST_SIMULATED : MOST_PLAYED);
-        out.println("# breaks " + rule + ": " + judged(small, asked.simulate()).breaches().stream()
+        out.println("# breaks " + rule + ": " + judged(small, asked).breaches().stream()
                 .filter(breach -> breach.rule().equals(rule)).map(Breach::words).findFirst().orElse("not in the last play"));
         out.print(small.script());
         return 1;
     }
 
-    private static Verdict judged(Trial trial, boolean simulate) throws IOException, InterruptedException {
+    private static Verdict judged(Trial trial, Asked asked) throws IOException, InterruptedException {
         PrintStream silent = new PrintStream(java.io.OutputStream.nullOutputStream());
-        return Oracles.judge(trial, simulate ? new SimulationStage().play(trial, line -> { })
-                : play(trial, silent, null));
+        return Oracles.judge(trial, asked.simulate() ? new SimulationStage().play(trial, line -> { })
+                : play(trial, silent, null, asked.environment()));
     }
 
     /** Plays on processes; their logs go into the report's folder, where there is one. */
-    private static History play(Trial trial, PrintStream out, Path report) throws IOException, InterruptedException {
+    private static History play(Trial trial, PrintStream out, Path report, Map<String, String> environment)
+            throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("mothwing-trial");
-        try (ProcessStage stage = new ProcessStage(folder)) {
+        try (ProcessStage stage = new ProcessStage(folder, "mothwing.Main", environment)) {
             return stage.play(trial, line -> out.println("  " + line));
         } finally {
             if (report != null) {
