--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -188,6 +188,7 @@
     private double[] coming = {};
     private double[] quotaTokens = {};
     private int runLimit;
+    private boolean ignorant; // whether the running limit shrinks for want of gauges
     private double busy;
     private double usualBusy = 1;
 
@@ -1001,13 +1002,19 @@
 
     /** Without gauges the running limit never grows; the longer they are missing, the closer it comes to the cores. */
     private void shrinkRunLimit(int steps, long ignorance) {
-        if (ignorance > IGNORANCE * sample) {
-            runLimit = Math.max(cores, runLimit - steps);
+        if (ignorance <= IGNORANCE * sample || runLimit <= cores) {
+            return;
+        }
+        if (!ignorant) {
+            ignorant = true;
+            host.log("running-limit shrinks from=" + runLimit + " no_gauges_for_ms=" + ignorance / 1000);
         }
+        runLimit = Math.max(cores, runLimit - steps);
     }
 
     /** The running limit grows fast while cores idle and work waits, and falls back to the cores. */
     private void adaptRunLimit(int steps) {
+        ignorant = false;
         boolean waiting = open.values().stream().anyMatch(job -> job.state == State.HELD && !job.answered);
         if (waiting && busy < IDLE_CORES && onCores >= runLimit) {
             runLimit = Math.min(runLimit + steps, (int) crowdCeiling());
--- a/src/main/java/mothwing/broker/Broker.java
+++ b/src/main/java/mothwing/broker/Broker.java
@@ -55,6 +55,7 @@
     private RunClaims claims = RunClaims.ALONE;
     private final Counters counters;
     private final Log log;
+    private final ReasonLog reasons;
     private final Map<String, Exchange> open = new LinkedHashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<String, String> ticks = new LinkedHashMap<>();
@@ -95,6 +96,7 @@
         this.counters = counters;
         this.log = log;
         inForce.names().forEach(figures::know);
+        reasons = new ReasonLog(log, timers);
         reconciler = new RunReconciler(open, workers, counters, log, () -> told().machine().halting(), new Reconciled());
     }
 
@@ -467,6 +469,7 @@
         @Override
         public void startAgain(Exchange run) {
             counters.add("spawned-again");
+            reasons.line("started-again", run, "relinked");
             handOver(run);
         }
 
@@ -726,6 +729,7 @@
     private void refuse(Exchange one, String code, boolean last, long holdOffMs) {
         if (one.refuse(last, holdOffMs)) {
             counters.add("refused-" + code);
+            reasons.line("refused", one, code);
             count(one, Figures.End.REJECTED);
         }
     }
@@ -734,6 +738,7 @@
         if (one.fail(code)) {
             abandon(one);
             counters.add("failed-" + code);
+            reasons.line("failed", one, code);
             count(one, Figures.End.FAILED);
         }
     }
--- a/src/test/java/mothwing/broker/BrokerTest.java
+++ b/src/test/java/mothwing/broker/BrokerTest.java
@@ -584,4 +584,19 @@
         assertEquals(List.of("failed ran-before"), answers);
         assertEquals(1, stand.spawns.get(Stand.id(1)));
     }
+
+    /** Guards against refusals that nobody can trace, and against a log that grows with an overload. */
+    @Test
+    void reasonsAreWrittenWithTheRequestUpToABoundASecond() {
+        int over = 10;
+        for (int i = 0; i < ReasonLog.MOST_A_SECOND + over; i++) {
+            ask(i, "no-such-class");
+        }
+        stand.pass(SECOND);
+        ask(1000, "no-such-class");
+        List<String> written = stand.lines.stream().filter(line -> line.startsWith("failed ")).toList();
+        assertEquals(ReasonLog.MOST_A_SECOND + 1, written.size());
+        assertEquals("failed id=" + Stand.id(0) + " class=no-such-class reason=unknown-class", written.get(0));
+        assertTrue(stand.lines.contains("reasons-suppressed lines=" + over));
+    }
 }
