--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -19,6 +19,9 @@
 import mothwing.OverloadControl.RequestClass;
 import mothwing.OverloadControl.Sample;
 import mothwing.OverloadControl.Settings;
+import mothwing.overload.FilterLadder;
+import mothwing.overload.LoadIndex;
+import mothwing.overload.RunningLimit;
 
 /**
  * All decisions of the overload controller of one server, after QGuard. Interface: OverloadControl.java.
@@ -33,20 +36,6 @@
 public final class Brain implements Controller {
     // Constants: unit, then reason.
     private static final long SAMPLE = 30_000; // microseconds, rounded up to rounds: the paper's 33 Hz
-    private static final int HISTORY = 10; // samples averaged (h): the middle of the paper's 5 to 15
-    private static final double MODERATOR = 3; // overloaded for each underloaded interval (m): paper, 3 to 6
-    private static final int SOJOURN = 10; // samples between switches (s): one full history
-    private static final int LONGEST_WAIT = 6; // sojourns: an outage's lag must not freeze the ladder
-    private static final int OVERLOADED = 2; // index: one busy gauge alone is a server well used
-    private static final int UNDERLOADED = 0; // index up to which an interval counts as underloaded
-    // Shares of the ceiling; gauges: cores, memory, run queue, hold wait.
-    private static final double[] OVER = {0.95, 0.85, 0.5, 0.4};
-    private static final double[] UNDER = {0.8, 0.02, 0.02, 0.1};
-    private static final int INNER_FILTERS = 12; // count: unrefined steps are a tenth of the range
-    private static final double TOP_RATE = 1.25; // ratio of the best completion rate: hardly shapes
-    private static final double BOTTOM_RATE = 0.2; // the same for the last filter before refuse-all
-    private static final double BEND = 1.6; // exponent: steps are finer about the focal point
-    private static final int REFINE = 20; // sojourns between refinements: time enough to oscillate
     private static final double VOLUME = 1.5; // seconds of rate in a full bucket (V): about one aim
     private static final double MINIMUM = 0.1; // share of a filter's rate split evenly before the weights
     private static final double LEARN = 0.1; // weight of one run in learned core times: some ten runs
@@ -65,7 +54,6 @@
     private static final double CALLS_LEAST = 0.25; // of that burst, for a call to begin: less soon times out
     private static final double MANY = 1e9; // calls, its square their time, where no part is stated
     private static final int CALL_TRIES = 4; // count for one call; each wait doubles, which spares it
-    private static final double IDLE_CORES = 0.9; // busy share under which the running limit may grow
     private static final int DUE_MARGIN = 2; // samples before a due time: a late timer and a batch fit in
     private static final int KILL_MARGIN = 8; // samples before the kill at which everything is answered
     private static final double BETTER = 2; // ratio of worth from which work to come is kept room for
@@ -83,8 +71,6 @@
     private static final double STUCK = 4; // ratio to its guess past which a run tells of a stuck server
     private static final double BUSY_SECONDS = 3; // over which cores are idle or busy: some ten runs
     private static final int STALL = 3; // samples late: the process stood still, which is no evidence of load
-    private static final int IGNORANCE = 5; // samples without gauges that a running limit outlives: one lost answer and a relink
-    private static final double BEST_SECONDS = 60; // in which a best completion rate fades
     private static final double SECOND = 1e6; // microseconds
     private static final String TICK = "sample"; // tag of the only timer
 
@@ -167,28 +153,16 @@
     private double done;
     private double strain = 1;
 
-    private final double[][] history = new double[OVER.length][HISTORY];
-    private int samples;
-    private int overloads;
-    private int underloads;
-    private int filter;
-    private double[] rates;
-    private double best;
+    private final LoadIndex loadIndex = new LoadIndex();
+    private final FilterLadder ladder;
     private double doneWork;
     private double doneRate;
-    private long lastSwitch;
-    private long overSince;
-    private double lag;
-    private final double[] timeIn = new double[INNER_FILTERS + 2];
-    private double focal;
-    private long lastRefine;
 
     private double[] tokens = {};
     private double[] offered = {};
     private double[] coming = {};
     private double[] quotaTokens = {};
-    private int runLimit;
-    private boolean ignorant; // whether the running limit shrinks for want of gauges
+    private final RunningLimit running;
     private double busy;
     private double usualBusy = 1;
 
@@ -205,10 +179,8 @@
         take(settings);
         callTime = callTimeMost;
         callRoom = callFlow * VOLUME * SECOND;
-        runLimit = cores;
-        best = cores;
-        focal = cores;
-        rates = ladder();
+        running = new RunningLimit(cores);
+        ladder = new FilterLadder(cores);
     }
 
     /** Takes settings whole. What was learned, used up or came of late stays with its name. */
@@ -266,8 +238,7 @@
         now = at;
         startedAt = at;
         lastSample = at;
-        lastSwitch = at;
-        lastRefine = at;
+        ladder.started(at);
         host.health(true, true);
         host.timer(at + sample, TICK);
     }
@@ -338,7 +309,7 @@
     /** Every read must leave room for its run, for the runs planned and for a batch of further reads. */
     private boolean roomFor(Job job) {
         double entry = job.guarded() ? settings.machine().entryMemory() : 0;
-        return memory + entry + Math.max(0, runLimit - onCores) * extra(job) <= planned;
+        return memory + entry + Math.max(0, running.limit() - onCores) * extra(job) <= planned;
     }
 
     private double extra(Job job) {
@@ -346,11 +317,12 @@
     }
 
     private boolean takeTokens(Job job) {
+        int filter = ladder.filter();
         if (filter == 0) {
             return true;
         }
         int bucket = bucket(job);
-        if (filter > INNER_FILTERS || tokens[bucket] <= 0) {
+        if (filter > FilterLadder.INNER_FILTERS || tokens[bucket] <= 0) {
             return false;
         }
         tokens[bucket] -= expected(job);
@@ -408,12 +380,13 @@
 
     /** The time held for a run: on cores idle now or of late no better use waits, and chances are taken. */
     private double stretched(Job job) {
-        double full = filter == 0 ? Math.min(1, Math.min(busy, usualBusy) / UNDER[0]) : 1;
+        double full = ladder.filter() > 0 ? 1
+                : Math.min(1, Math.min(busy, usualBusy) / LoadIndex.idleCores());
         return expected(job) * (CHANCE + (SPREAD - CHANCE) * full);
     }
 
     private long usefulUntil(Job job) {
-        return filter == 0 ? worthUntil(job) : Math.min(job.aimBy, job.due);
+        return ladder.filter() == 0 ? worthUntil(job) : Math.min(job.aimBy, job.due);
     }
 
     /** Until when an answer has any worth. */
@@ -464,7 +437,8 @@
         boolean cold = settings.machine().cold() && now < startedAt + settings.rules().warmAfter();
         boolean own = draining || faults[RUNS] > FAULTS || cold || stuck();
         long longest = settings.signals().mayAdvise() ? settings.signals().longestAdvice() : 0;
-        host.refuse(job.request.id(), !own, own ? longest : longest * filter / (2 * INNER_FILTERS));
+        long byFilter = longest * ladder.filter() / (2 * FilterLadder.INNER_FILTERS);
+        host.refuse(job.request.id(), !own, own ? longest : byFilter);
         refusedNow.add(job.request.id());
         if (dropKey(job.request.id())) {
             host.forget(job.request.id());
@@ -585,7 +559,9 @@
             enterCore(job);
             return;
         }
-        if (!outcome.neverRan() && outcome != Outcome.FAILED) { // given up, or cut off with its link: it may run on below
+        // given up, or cut off with its link
+        boolean mayRunOn = !outcome.neverRan() && outcome != Outcome.FAILED;
+        if (mayRunOn) {
             lingering.add(now + settings.dependency().linger());
         }
         job.state = State.AT_CALL;
@@ -745,7 +721,7 @@
 
     private int runningBound() {
         double ceiling = crowdCeiling();
-        return crowd > ceiling ? 0 : Math.min(runLimit, (int) Math.max(1, ceiling));
+        return crowd > ceiling ? 0 : Math.min(running.limit(), (int) Math.max(1, ceiling));
     }
 
     private double crowdCeiling() {
@@ -829,17 +805,20 @@
         if (!stalled) {
             observe(sampled, span);
         }
-        int steps = (int) Math.max(1, Math.min(HISTORY, span * SECOND / sample));
+        int steps = (int) Math.max(1, Math.min(LoadIndex.HISTORY, span * SECOND / sample));
         if (sampled.known() || settings.machine().gauges().isEmpty()) {
-            adaptRunLimit(steps);
-        } else {
-            shrinkRunLimit(steps, sampled.age());
+            boolean waits = onCores >= running.limit()
+                    && open.values().stream().anyMatch(job -> job.state == State.HELD && !job.answered);
+            running.sampled(steps, busy, waits, (int) crowdCeiling(), cores,
+                    loadIndex.samples() % LoadIndex.HISTORY == 0);
+        } else if (running.unsampled(steps, sampled.age(), sample, cores)) {
+            host.log("running-limit shrinks from=" + running.limit() + " no_gauges_for_ms=" + sampled.age() / 1000);
         }
     }
 
     /** Refills the buckets of the filter in force and the tenants' quotas. */
     private void fill(double span) {
-        double[] split = split(rates[filter]);
+        double[] split = split(ladder.rate());
         for (int i = 0; i < tokens.length; i++) {
             double rate = split[i] * SECOND;
             tokens[i] = Math.min(rate * VOLUME, tokens[i] + rate * span);
@@ -892,23 +871,15 @@
 
     /** One sample: the gauges, the index, and the damped step through the ladder. */
     private void observe(Sample sampled, double span) {
-        record(0, busy);
-        record(1, memory / Math.max(1, settings.machine().memory()));
-        record(2, gauge(sampled, "runnable", onCores) / survivable());
-        record(3, holdWait());
-        samples++;
+        int index = loadIndex.take(busy, memory / Math.max(1, settings.machine().memory()),
+                gauge(sampled, "runnable", onCores) / survivable(), holdWait());
         doneRate += (doneWork / SECOND / span - doneRate) * Math.min(1, span / 2);
         doneWork = 0;
-        int index = 0;
-        for (int i = 0; i < OVER.length; i++) {
-            double mean = Arrays.stream(history[i]).sum() / HISTORY;
-            index += mean > OVER[i] ? 1 : mean < UNDER[i] ? -1 : 0;
-        }
-        if (index < OVERLOADED) {
-            best = Math.min(cores, Math.max(best * (1 - span / BEST_SECONDS), doneRate));
+        ladder.completed(index, doneRate, cores, span);
+        if (ladder.step(now, index, span, sample)) {
+            host.log("refuse-all reached");
         }
-        step(index, span);
-        callers.sample(faults[RUNS] > FAULTS, busy < UNDER[0], now - startedAt);
+        callers.sample(faults[RUNS] > FAULTS, busy < LoadIndex.idleCores(), now - startedAt);
     }
 
     /** A gauge of this moment; where it is not known, what this server's own book of runs makes of it. */
@@ -917,10 +888,6 @@
         return place >= 0 && place < sampled.gauges().size() ? sampled.gauges().get(place) : byOwnBook;
     }
 
-    private void record(int gauge, double share) {
-        history[gauge][samples % HISTORY] = share;
-    }
-
     /** The wait that the work in hand means for one who comes last, as shares of its class deadlines. */
     private double holdWait() {
         double work = 0;
@@ -929,98 +896,4 @@
         }
         return work / cores;
     }
-
-    private void step(int index, double span) {
-        timeIn[filter] += span;
-        if (index >= OVERLOADED) {
-            overloads++;
-            overSince = overSince == 0 ? now : overSince;
-        } else if (index <= UNDERLOADED) {
-            underloads++;
-            if (overSince > 0) {
-                lag += ((now - overSince) - lag) * LEARN;
-                overSince = 0;
-            }
-        }
-        long sojourn = SOJOURN * sample;
-        if (now - lastSwitch < Math.max(sojourn, Math.min(2 * lag, LONGEST_WAIT * sojourn))) {
-            return;
-        }
-        int next = filter;
-        if (overloads > 0 && overloads >= MODERATOR * underloads) {
-            next = Math.min(rates.length - 1, filter + 1);
-        } else if (underloads > overloads) {
-            next = Math.max(0, filter - 1);
-        }
-        overloads = 0;
-        underloads = 0;
-        lastSwitch = now;
-        if (next > filter && next == rates.length - 1) {
-            host.log("refuse-all reached");
-        }
-        filter = next;
-        if (now - lastRefine > REFINE * sojourn) {
-            refine();
-        }
-    }
-
-    /** Moves the focal point to the mean rate of late and the filter to the one of like rate. */
-    private void refine() {
-        lastRefine = now;
-        double time = 0;
-        double sum = 0;
-        for (int i = 1; i <= INNER_FILTERS; i++) {
-            time += timeIn[i];
-            sum += timeIn[i] * rates[i];
-        }
-        focal = time > 0 ? sum / time : best;
-        Arrays.fill(timeIn, 0);
-        double rate = rates[filter];
-        rates = ladder();
-        if (filter > 0 && filter <= INNER_FILTERS) {
-            filter = 1;
-            while (filter < INNER_FILTERS && rates[filter] > rate) {
-                filter++;
-            }
-        }
-    }
-
-    /** Rates in cores' worth of expected work, down to refuse-all, finer about the focal point. */
-    private double[] ladder() {
-        double[] all = new double[INNER_FILTERS + 2];
-        double top = best * TOP_RATE;
-        double bottom = best * BOTTOM_RATE;
-        double middle = Math.max(bottom, Math.min(top, focal));
-        all[0] = Double.MAX_VALUE / SECOND / SECOND;
-        for (int i = 1; i <= INNER_FILTERS; i++) {
-            double place = 1 - 2.0 * (i - 1) / (INNER_FILTERS - 1);
-            double reach = place > 0 ? top - middle : middle - bottom;
-            all[i] = middle + Math.signum(place) * Math.pow(Math.abs(place), BEND) * reach;
-        }
-        return all;
-    }
-
-    /** Without gauges the running limit never grows; the longer they are missing, the closer it comes to the cores. */
-    private void shrinkRunLimit(int steps, long ignorance) {
-        if (ignorance <= IGNORANCE * sample || runLimit <= cores) {
-            return;
-        }
-        if (!ignorant) {
-            ignorant = true;
-            host.log("running-limit shrinks from=" + runLimit + " no_gauges_for_ms=" + ignorance / 1000);
-        }
-        runLimit = Math.max(cores, runLimit - steps);
-    }
-
-    /** The running limit grows fast while cores idle and work waits, and falls back to the cores. */
-    private void adaptRunLimit(int steps) {
-        ignorant = false;
-        boolean waiting = open.values().stream().anyMatch(job -> job.state == State.HELD && !job.answered);
-        if (waiting && busy < IDLE_CORES && onCores >= runLimit) {
-            runLimit = Math.min(runLimit + steps, (int) crowdCeiling());
-        } else if (busy > IDLE_CORES && runLimit > cores && samples % HISTORY == 0) {
-            runLimit--;
-        }
-        runLimit = Math.max(cores, runLimit);
-    }
 }
