--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -812,7 +812,8 @@
             running.sampled(steps, busy, waits, (int) crowdCeiling(), cores,
                     loadIndex.samples() % LoadIndex.HISTORY == 0);
         } else if (running.unsampled(steps, sampled.age(), sample, cores)) {
-            host.log("running-limit shrinks from=" + running.limit() + " no_gauges_for_ms=" + sampled.age() / 1000);
+            host.log("running-limit shrinks from=" + running.limit()
+                    + " no_gauges_for_ms=" + sampled.age() / 1000);
         }
     }
 
