Let nobody give way whose bytes wait for this process to take them

ConnectionTable.least took a connection that waits for its turn (FairReads) for a stranger that never asked. Change: who waits for its turn never gives way.

--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -109,6 +109,11 @@
         return idle() && pieceSince == NEVER && !awaits && deafSince == NEVER;
     }
 
+    /** Whether what came on it waits for this process to take it. */
+    final boolean awaitsTurn() {
+        return awaits;
+    }
+
     /** Lets it take pieces in turns. */
     final void inTurns(FairReads all) {
         turns = all;
--- a/src/main/java/mothwing/net/ConnectionTable.java
+++ b/src/main/java/mothwing/net/ConnectionTable.java
@@ -164,7 +164,8 @@
     /**
      * Closes whom it harms least: of the strangers, which never asked anything whole, the one whose last byte is longest
      * ago, else the gateway that has been quiet for longest. A request that is written slowly outlives who stopped half
-     * way, and a gateway whose first request is on its way those that came before.
+     * way, and a gateway whose first request is on its way those that came before. Who waits for its turn never gives way: what it
+     * asked has come, and this process is behind.
      */
     void evict() {
         Place least = least();
@@ -184,7 +185,7 @@
 
     private Place least() {
         for (Place one : strangers.values()) {
-            if (!one.connection.closed()) {
+            if (!one.connection.closed() && !one.connection.awaitsTurn()) {
                 return one;
             }
         }
--- a/src/test/java/mothwing/net/FairReadsTest.java
+++ b/src/test/java/mothwing/net/FairReadsTest.java
@@ -102,6 +102,28 @@
         assertTrue(first.config().isAutoRead() && second.config().isAutoRead());
     }
 
+    /** Guards against who gives way for a new connection being one that asked, and waits for this process to read it. */
+    @Test
+    void whoWaitsForItsTurnDoesNotGiveWay() {
+        ConnectionTable table = new ConnectionTable(1_000_000, clock);
+        Letters busy = new Letters();
+        Letters waits = new Letters();
+        List<EmbeddedChannel> channels = new ArrayList<>();
+        for (Letters one : List.of(busy, waits)) {
+            table.add(one);
+            one.inTurns(turns);
+            EmbeddedChannel channel = new EmbeddedChannel(one);
+            channel.writeInbound(Unpooled.copiedBuffer("a".repeat(2 * IN_A_TURN), StandardCharsets.US_ASCII));
+            channels.add(channel);
+        }
+        table.evict();
+        channels.forEach(one -> assertTrue(one.isOpen(), "its bytes lie here, unread by our own doing"));
+        while (clock.turn()) {
+            // all turns come
+        }
+        assertEquals(4 * IN_A_TURN, taken.size());
+    }
+
     @Test
     void aConnectionThatEndsAsItWaitsIsPassedOver() {
         sent("a".repeat(2 * IN_A_TURN));
