Evict nobody where each candidate turns out to have asked something

ConnectionTable.evict read four candidates, each of which had asked, and then closed the fifth unread. Change: only who was looked at last and still rests gives way, of 16 candidates; else the newcomer is turned away. Measured: FairReadsTest failed before and passes.

--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -272,7 +272,7 @@
      * Reads what lies in the socket, as is done before a connection is closed for having nothing open on it. Not from within a
      * read of this connection.
      */
-    final void readNow() {
+    void readNow() {
         if (!closed() && context.channel().config().isAutoRead()
                 && context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
             socket.read();
--- a/src/main/java/mothwing/net/ConnectionTable.java
+++ b/src/main/java/mothwing/net/ConnectionTable.java
@@ -17,7 +17,7 @@
     private static final long TICK = 20_000; // microseconds
     private static final long STOOD_STILL = 150_000; // microseconds between looks: what was sent meanwhile is not read yet
     private static final long NEWCOMER = 250_000; // microseconds in which the first request of a connection is on its way
-    private static final int TRIES = 4; // of those that may give way, how many may turn out to have asked something
+    private static final int TRIES = 16; // candidates that are looked at for one place: each look reads a socket
     /** Most connections that are shut on this side and wait for the other; they take no place of one that is open. */
     static final int MOST_LINGERING = 16;
 
@@ -165,21 +165,20 @@
      * Closes whom it harms least: of the strangers, which never asked anything whole, the one whose last byte is longest
      * ago, else the gateway that has been quiet for longest. A request that is written slowly outlives who stopped half
      * way, and a gateway whose first request is on its way those that came before. Who waits for its turn never gives way: what it
-     * asked has come, and this process is behind.
+     * asked has come, and this process is behind. Where each that is looked at turns out to have asked, nobody does.
      */
     void evict() {
-        Place least = least();
-        for (int i = 0; i < TRIES && least != null; i++) {
+        for (int i = 0; i < TRIES; i++) {
+            Place least = least();
+            if (least == null) {
+                return;
+            }
             least.connection.readNow();
-            Place now = least();
-            if (now == least) {
-                break;
+            if (least == least()) { // nothing lay in its socket that asks
+                strangers.remove(least.connection);
+                least.connection.close(Reason.EVICTED, "");
+                return;
             }
-            least = now; // something lay in its socket
-        }
-        if (least != null) {
-            strangers.remove(least.connection);
-            least.connection.close(Reason.EVICTED, "");
         }
     }
 
--- a/src/test/java/mothwing/net/FairReadsTest.java
+++ b/src/test/java/mothwing/net/FairReadsTest.java
@@ -56,7 +56,9 @@
     }
 
     /** Takes a byte a piece. */
-    private final class Letters extends Connection {
+    private class Letters extends Connection {
+        int number;
+
         Letters() {
             super("letters", 100, line -> { }, counters);
         }
@@ -124,6 +126,30 @@
         assertEquals(4 * IN_A_TURN, taken.size());
     }
 
+    /** Guards against a close over bytes that no look has read yet, where many have asked and this process is behind. */
+    @Test
+    void ofManyWhoAskedUnreadNobodyGivesWay() {
+        ConnectionTable table = new ConnectionTable(1_000_000, clock);
+        sent("a".repeat(2 * IN_A_TURN)); // this process is behind
+        List<EmbeddedChannel> channels = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Letters one = new Letters() {
+                @Override
+                void readNow() {
+                    if (!awaitsTurn()) {
+                        channels.get(number).writeInbound(Unpooled.copiedBuffer("b", StandardCharsets.US_ASCII));
+                    }
+                }
+            };
+            one.number = i;
+            one.inTurns(turns);
+            table.add(one);
+            channels.add(new EmbeddedChannel(one));
+        }
+        table.evict();
+        channels.forEach(one -> assertTrue(one.isOpen(), "what it asked lay unread"));
+    }
+
     @Test
     void aConnectionThatEndsAsItWaitsIsPassedOver() {
         sent("a".repeat(2 * IN_A_TURN));
