Open another link to a pool that has not answered the first one for 4 s

Pool.look expected nothing of a pool that had never come up. Change: the look holds from the start, 4 s at first, ever more seldom.

--- a/src/main/java/mothwing/pool/Pool.java
+++ b/src/main/java/mothwing/pool/Pool.java
@@ -29,6 +29,8 @@
     private static final long LOOK = 250 * MILLI; // between looks at a silent link; a look later by as much stood still
     /** For so long a link may be silent behind a question, or unbound once the pool was up, before another is opened beside it. */
     static final long SILENT = 2000 * MILLI;
+    /** For so long a first link may be unbound at first: the pool may come up long after this process, or the link may lead nowhere. */
+    static final long UNBOUND = 4000 * MILLI;
     private static final long MOST_GAP = 1 << 20; // numbers that a notice may be ahead: the pool keeps 4,000
 
     private final Timers timers;
@@ -44,7 +46,7 @@
     private boolean dialing;
     private boolean stopped;
     private boolean everBound;
-    private long patience = SILENT;
+    private long patience = UNBOUND;
     private long lookedAt;
     private long gapAfter = -1;
 
@@ -76,7 +78,7 @@
 
     /**
      * A link that is open and silent may be half dead. Another is opened beside it, and it is left only once the pool has
-     * taken that: a pool that is merely slow loses nothing. Before the pool first came up nothing is expected of it.
+     * taken that: a pool that is merely slow loses nothing. A pool that has not come up yet is asked ever more seldom.
      */
     private void look() {
         if (stopped) {
@@ -89,10 +91,10 @@
         if (link != null) {
             link.askAgain();
         }
-        if (everBound && !stoodStill && !dialing && link != null && link.silentFor(now) > patience) {
+        if (!stoodStill && !dialing && link != null && link.silentFor(now) > patience) {
             counters.add("pool-silent-link");
             log.line("pool-silent ms=" + link.silentFor(now) / MILLI);
-            patience = Math.min(8 * SILENT, 2 * patience);
+            patience = Math.min(8 * SILENT, 2 * patience); // before the pool first came up, too: it may be long in coming
             dial();
         }
     }
