--- a/src/main/java/mothwing/Brain.java
+++ b/src/main/java/mothwing/Brain.java
@@ -385,8 +385,10 @@
         return expected(job) * (CHANCE + (SPREAD - CHANCE) * full);
     }
 
+    /** Until when an answer is sought: on busy cores a late one takes the place of one in time. */
     private long usefulUntil(Job job) {
-        return ladder.filter() == 0 ? worthUntil(job) : Math.min(job.aimBy, job.due);
+        boolean room = ladder.filter() == 0 && Math.min(busy, usualBusy) < LoadIndex.idleCores();
+        return room ? worthUntil(job) : Math.min(job.aimBy, job.due);
     }
 
     /** Until when an answer has any worth. */
--- a/src/test/java/mothwing/BrainTest.java
+++ b/src/test/java/mothwing/BrainTest.java
@@ -362,6 +362,23 @@
         }
     }
 
+    private static RecordingHost readsBehindEachOther(double busy) {
+        RecordingHost host = host();
+        host.gauges(busy, 2);
+        host.passUntil(START + 8 * SECOND);
+        for (int i = 0; i < 40; i++) {
+            host.read(request(host, "late" + i, READ));
+        }
+        return host;
+    }
+
+    /** Guards against cores full of answers that come after their aim, which are worth a fifth, in place of some in time. */
+    @Test
+    void lateWorthIsSoughtOnlyWhileCoresIdle() {
+        assertTrue(readsBehindEachOther(1).count("refuse") >= 20, "2 s of work on two cores, an aim of 1 s");
+        assertEquals(0, readsBehindEachOther(0.3).count("refuse"));
+    }
+
     @Test
     void sameEventsLeadToTheSameActions() {
         assertEquals(script(), script());
