Leave by the earliest kill, not by the stop that was told

Need: the kill may come 0.7 s behind the longest deadline (3 s at most) after SIGTERM. Cause: Drain.go kept to that span in an upgrade alone, else to stop_ms.

--- a/src/main/java/mothwing/server/Drain.java
+++ b/src/main/java/mothwing/server/Drain.java
@@ -29,8 +29,8 @@
     private static final long STOOD_STILL = 5 * PERIOD; // late by so much: it could not read meanwhile
     private static final long TO_READ = 200 * MILLI; // for what waits in the sockets then, read and answered in some turns
     private static final long TO_CLOSE = 60 * MILLI; // for the other sides' closes in the last moment
-    private static final long UPGRADE_LONGEST = 3000 * MILLI; // an upgrade is cut off after the longest deadline,
-    private static final long UPGRADE_MORE = 700 * MILLI; // counted as 3 s where it is longer, and this
+    private static final long LONGEST_COUNTED = 3000 * MILLI; // the kill may come after the longest deadline,
+    private static final long KILL_AFTER = 700 * MILLI; // counted as 3 s where it is longer, and this, whatever was told
     private static final int PROBE_MS = 100; // a full queue lets an attempt wait; nobody there refuses at once
     private static final int PROBE_AGAIN_MS = 10;
     private static final int MOST_PROBES = 8;
@@ -117,9 +117,8 @@
 
     private void go(long noticeAt, boolean handover, Config config) {
         long deadline = config.settings().classes().stream().mapToLong(RequestClass::deadline).max().orElse(0);
-        long upgrade = Math.min(deadline, UPGRADE_LONGEST) + UPGRADE_MORE;
-        long span = handover ? Math.min(config.stopMs() * MILLI, upgrade) : config.stopMs() * MILLI;
-        stopAt = noticeAt + span;
+        long earliestKill = Math.min(deadline, LONGEST_COUNTED) + KILL_AFTER;
+        stopAt = noticeAt + Math.min(config.stopMs() * MILLI, earliestKill);
         broker.drain(noticeAt, stopAt, handover);
         step();
     }
--- a/src/test/java/mothwing/lab/OverloadTest.java
+++ b/src/test/java/mothwing/lab/OverloadTest.java
@@ -142,6 +142,24 @@
         }
     }
 
+    /** The kill may come 0.7 s behind the longest deadline, 3 s at most, whatever time to leave was told: all is answered by then. */
+    @Test
+    void aServerThatLeavesHasAnsweredAllBeforeTheEarliestKill() throws Exception {
+        Trial trial = trial("""
+                trial(name = "leaves", seconds = 3, seed = 2)
+                fleet(servers = 1, cores = 2, work_ms = 100, deadline_ms = 4500, stop_ms = 9000)
+                traffic(rate = 20, orders = 0.5, gateways = 2, retries = 0, patience_ms = 8000)
+                at(1.5, hang(["s1"]))
+                at(2, leave(["s1"], seconds = 20))
+                """, "");
+        History history = processes(trial);
+        History.Life life = history.lives.get(0);
+        assertTrue(life.endedAt - life.noticeAt < 3.7 * SECOND, "it left after " + (life.endedAt - life.noticeAt) / 1000 + " ms");
+        assertEquals(0, life.status);
+        assertTrue(history.calls.stream().noneMatch(call -> call.end() == End.LOST || call.end() == End.OPEN));
+        assertTrue(history.calls.stream().anyMatch(call -> call.end() == End.FAILED && call.endedAt() > life.noticeAt));
+    }
+
     /** The oracle's own arithmetic, against a crowd of which the mean is known. */
     @Test
     void theWorstMeanOfACrowdIsThatOfItsWorstSpan() {
