Take out a flag without a reader, and put a check where its one caller is

Seen on reading the change again: Pool.everBound was set and no longer read, since the look at a silent link holds before the pool first came up too; outOfDescriptors stood in RetryingSocketChannel and is Listener's alone; the echo of each polled answer compiled its pattern anew, about 33 times a second; a local name said the opposite of what it guards. No behaviour changes. Checked by the tests of pool, broker, interleavings, crossings, listeners, layers and system calls, by name.

--- a/src/main/java/mothwing/broker/RunReconciler.java
+++ b/src/main/java/mothwing/broker/RunReconciler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Map;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 import mothwing.OverloadControl.Halting;
 
 /**
@@ -47,6 +48,8 @@
     private static final String BEHIND_DOUBTS = "resolve";
     /** The echo of a poll that looks whether anything is on the cores. */
     private static final String IDLE_LOOK = "idle";
+    /** The echoes of {@link #nextPoll}, as a pool may say anything. */
+    private static final Pattern NUMBERED = Pattern.compile("t[0-9]{1,18}");
 
     private static final long MILLI = 1000;
     /** Microseconds after which a question without an answer is asked again: ten round trips of a busy machine. */
@@ -191,7 +194,7 @@
 
     /** The number of a poll of {@link #nextPoll} that has been sent, or -1. */
     private long number(String echo) {
-        if (!echo.matches("t[0-9]{1,18}")) {
+        if (!NUMBERED.matcher(echo).matches()) {
             return -1;
         }
         long number = Long.parseLong(echo, 1, echo.length(), 10);
@@ -217,8 +220,8 @@
     private void probe(Exchange run) {
         counters.add("runs-probed");
         log.line("run-in-doubt id=" + run);
-        boolean startedTwiceAtWorst = run.repeatable() || halting.get() != Halting.ABORT;
-        if (startedTwiceAtWorst) {
+        boolean runsOnceAtMost = run.repeatable() || halting.get() != Halting.ABORT; // an abort that is on its way threw work away
+        if (runsOnceAtMost) {
             workers.spawn(run);
         }
         if (halting.get() != Halting.NONE) {
--- a/src/main/java/mothwing/net/Listener.java
+++ b/src/main/java/mothwing/net/Listener.java
@@ -75,7 +75,7 @@
                 return one == null || !taken(one, accepted) ? 0 : 1;
             } catch (IOException none) {
                 counters.add(side + "-not-accepted");
-                if (RetryingSocketChannel.outOfDescriptors(none)) {
+                if (outOfDescriptors(none)) {
                     table.evict();
                     throw none;
                 }
@@ -126,7 +126,7 @@
                     }
                 } catch (IOException failed) {
                     inARow++;
-                    if (RetryingSocketChannel.outOfDescriptors(failed) && inARow == MOST_FAILED) {
+                    if (outOfDescriptors(failed) && inARow == MOST_FAILED) {
                         throw failed;
                     }
                 }
@@ -219,6 +219,11 @@
         }));
     }
 
+    /** Whether a system call failed as this process, or the machine, has no descriptor left. */
+    private static boolean outOfDescriptors(IOException failure) {
+        return failure.getMessage() != null && failure.getMessage().contains("Too many open files");
+    }
+
     private int bound() {
         return quota == null ? most : Math.max(1, quota.bound(timers.now()));
     }
--- a/src/main/java/mothwing/net/RetryingSocketChannel.java
+++ b/src/main/java/mothwing/net/RetryingSocketChannel.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.io.IOException;
 import java.nio.channels.SocketChannel;
 
 /**
@@ -58,14 +57,4 @@
         }
         return 0;
     }
-
-    /**
-     * Whether a system call failed as this process, or the machine, has no descriptor left.
-     *
-     * @param failure what it threw
-     * @return true if so
-     */
-    static boolean outOfDescriptors(IOException failure) {
-        return failure.getMessage() != null && failure.getMessage().contains("Too many open files");
-    }
 }
--- a/src/main/java/mothwing/pool/Pool.java
+++ b/src/main/java/mothwing/pool/Pool.java
@@ -45,7 +45,6 @@
     private int dials;
     private boolean dialing;
     private boolean stopped;
-    private boolean everBound;
     private long patience = UNBOUND;
     private long lookedAt;
     private long gapAfter = -1;
@@ -195,7 +194,6 @@
     }
 
     void bound() {
-        everBound = true;
         leaveFormer();
     }
 
