--- a/review/common/BadClients.java
+++ b/review/common/BadClients.java
@@ -29,7 +29,7 @@
   private static final int ALLOWED_PER_MILLE = 3;
 
   /** Plays the case against one server and returns whether the rule was broken. */
-  boolean play(Lab lab, boolean trouble, int sockets) throws Exception {
+  boolean play(Lab lab, boolean trouble, int sockets, String options) throws Exception {
     Announce announce = new Announce();
     Pool pool = new Pool(lab, "pool", Site.CORES);
     int port = Lab.freePort();
@@ -40,6 +40,8 @@
     Process server =
         lab.server(
             "server",
+            sockets,
+            options,
             Map.of("EDGE_NAME", "shop-1", "EDGE_LISTEN", listen, "EDGE_CONFIG", config.toString()),
             lab.temp.resolve("tmp"));
     Gateway.awaitHealthy(lab, port, 30_000);
@@ -75,7 +77,7 @@
   }
 
   private void begin(Lab lab, int port, long endsAt, AtomicLong connections) {
-    lab.note(clients + " bad clients begin");
+    lab.note(clients + " threads of clients begin");
     for (int i = 0; i < clients; i++) {
       Announce.daemon(
           "bad-" + i,
@@ -129,8 +131,8 @@
             + " served=" + lateServed + " lost=" + lateLost);
     lab.note("the process of the server is " + (server.isAlive() ? "alive" : "gone"));
     Files.readAllLines(lab.log("server")).stream()
-        .filter(line -> line.contains("OutOfMemoryError"))
-        .limit(3)
+        .filter(line -> line.contains("Error") || line.contains("Too many open files"))
+        .limit(4)
         .forEach(line -> lab.note("server: " + line));
     return !server.isAlive() || lost * 1000L >= (long) sent.size() * ALLOWED_PER_MILLE;
   }
--- a/review/common/HalfWritten.java
+++ b/review/common/HalfWritten.java
@@ -29,6 +29,8 @@
     Files.writeString(config, Site.config(listen, pool.address(), announce.address(), "", 49000, 512));
     lab.server(
         "server",
+        512,
+        "",
         Map.of("EDGE_NAME", "shop-1", "EDGE_LISTEN", listen, "EDGE_CONFIG", config.toString()),
         lab.temp.resolve("tmp"));
     Gateway.awaitHealthy(lab, port, 30_000);
--- a/review/common/Lab.java
+++ b/review/common/Lab.java
@@ -92,10 +92,15 @@
     return found.group(1);
   }
 
-  /** Starts the deploy file's run command with the variables of the platform. */
-  Process server(String name, Map<String, String> variables, Path tmpdir) throws IOException {
+  /**
+   * Starts the deploy file's run command with the variables of the platform, and with its limit on
+   * file descriptors.
+   */
+  Process server(
+      String name, int sockets, String options, Map<String, String> variables, Path tmpdir)
+      throws IOException {
     Files.createDirectories(tmpdir);
-    return start(name, deploy("run"), variables, tmpdir);
+    return start(name, "ulimit -n " + sockets + "; " + deploy("run") + options, variables, tmpdir);
   }
 
   /** Starts a shell command in the root of the repository; its output goes to NAME.log. */
