Review case 2: the idle crowd now needs no AJP, only half the descriptors and operators

Claim, from the same entry as before (no answer for 60 s beside 300 idle clients): at half of 384 descriptors a crowd of idle clients, while operators fetch the figures, uses up the file descriptors; the library's log line about the failed accept needs a file that cannot be opened, and the Error ends the thread of the event loop. The process stays alive and answers nothing again.

--- a/review/common/BadClients.java
+++ b/review/common/BadClients.java
@@ -2,6 +2,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
@@ -28,23 +29,34 @@
   /** Requests without a final answer in their time, of 1,000, from which on the rule is broken. */
   private static final int ALLOWED_PER_MILLE = 3;
 
-  /** Plays the case against one server and returns whether the rule was broken. */
-  boolean play(Lab lab, boolean trouble, int sockets, String options) throws Exception {
+  /**
+   * Plays the case against one server and returns whether the rule was broken.
+   *
+   * @param hasOperators whether operators call the server meanwhile, with trouble and without
+   */
+  boolean play(Lab lab, boolean trouble, int sockets, boolean hasOperators) throws Exception {
     Announce announce = new Announce();
     Pool pool = new Pool(lab, "pool", Site.CORES);
     int port = Lab.freePort();
     String listen = "127.0.0.1:" + port;
+    int door = Lab.freePort();
+    String management = hasOperators ? "127.0.0.1:" + door : "";
     Path config = lab.temp.resolve("config.json");
     Files.writeString(
-        config, Site.config(listen, pool.address(), announce.address(), "", 49000, sockets));
-    Process server =
-        lab.server(
-            "server",
-            sockets,
-            options,
-            Map.of("EDGE_NAME", "shop-1", "EDGE_LISTEN", listen, "EDGE_CONFIG", config.toString()),
-            lab.temp.resolve("tmp"));
+        config, Site.config(listen, pool.address(), announce.address(), management, 49000, sockets));
+    Map<String, String> variables = new LinkedHashMap<>();
+    variables.put("EDGE_NAME", "shop-1");
+    variables.put("EDGE_LISTEN", listen);
+    variables.put("EDGE_CONFIG", config.toString());
+    Operators operators = new Operators(door);
+    if (hasOperators) {
+      variables.put("EDGE_MANAGEMENT", management);
+    }
+    Process server = lab.server("server", sockets, variables, lab.temp.resolve("tmp"));
     Gateway.awaitHealthy(lab, port, 30_000);
+    if (hasOperators) {
+      operators.begin();
+    }
 
     List<Gateway.Request> sent = new ArrayList<>();
     Gateway gateway = new Gateway(lab, "gateway-1", port);
@@ -73,6 +85,9 @@
     lab.note("health check at the end: " + Gateway.health(lab, port));
     Thread.sleep(LIMIT_MS + 300);
     lab.note("connections of bad clients: " + connections.get());
+    if (hasOperators) {
+      lab.note("operators: " + operators);
+    }
     return judge(lab, pool, sent, server, endsAt + RECOVERY_MS);
   }
 
--- a/review/common/HalfWritten.java
+++ b/review/common/HalfWritten.java
@@ -30,7 +30,6 @@
     lab.server(
         "server",
         512,
-        "",
         Map.of("EDGE_NAME", "shop-1", "EDGE_LISTEN", listen, "EDGE_CONFIG", config.toString()),
         lab.temp.resolve("tmp"));
     Gateway.awaitHealthy(lab, port, 30_000);
--- a/review/common/IdleCrowd.java
+++ b/review/common/IdleCrowd.java
@@ -1,67 +1,59 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Case 2: a crowd connects to both fronts and idles; a client that is closed connects again. */
+/**
+ * Case 2: a crowd connects and idles. Each client says nothing for a second, and then leaves and
+ * connects again, whether or not the server has closed its connection meanwhile.
+ */
 final class IdleCrowd {
-  private static final int SOCKETS = 384;
+  /** Half of the 384 descriptors that a server has at least. */
+  private static final int SOCKETS = 192;
+
   private static final int THREADS = 24;
   private static final int CLIENTS_PER_THREAD = 50;
+  private static final int IDLE_MS = 1000;
   private static final int TROUBLE_MS = 8000;
 
-  private final int ajpPort = Lab.freePort();
-  private final ThreadLocal<SocketChannel[]> crowd =
-      ThreadLocal.withInitial(() -> new SocketChannel[CLIENTS_PER_THREAD]);
+  private static final ThreadLocal<Client[]> CROWD =
+      ThreadLocal.withInitial(() -> new Client[CLIENTS_PER_THREAD]);
 
-  private IdleCrowd() throws IOException {}
+  /** A client that is connected, and when it leaves. */
+  private record Client(SocketChannel socket, long leavesAt) {}
 
-  public static void main(String[] arguments) throws Exception {
-    IdleCrowd crowd = new IdleCrowd();
-    BadClients clients = new BadClients(THREADS, TROUBLE_MS, crowd::idle);
-    Lab.play(arguments, (lab, trouble) -> crowd.run(lab, trouble, clients));
-  }
+  private IdleCrowd() {}
 
-  private boolean run(Lab lab, boolean trouble, BadClients clients) throws Exception {
-    Path site = lab.temp.resolve("site.star");
-    Files.writeString(site, "ajp(listen = \"127.0.0.1:" + ajpPort + "\")\n");
-    lab.note("each thread stands for " + CLIENTS_PER_THREAD + " idle clients");
-    return clients.play(lab, trouble, SOCKETS, " --site " + site);
+  public static void main(String[] arguments) throws Exception {
+    BadClients clients = new BadClients(THREADS, TROUBLE_MS, IdleCrowd::idle);
+    Lab.play(
+        arguments,
+        (lab, trouble) -> {
+          lab.note("each thread stands for " + CLIENTS_PER_THREAD + " idle clients");
+          return clients.play(lab, trouble, SOCKETS, true);
+        });
   }
 
-  /** Connects the clients of one thread that are not connected, half of them to each front. */
-  private void idle(int port, AtomicLong connections) throws IOException {
-    SocketChannel[] clients = crowd.get();
+  /** Connects the clients of one thread that are not connected; those whose time is over leave. */
+  private static void idle(int port, AtomicLong connections) throws IOException {
+    Client[] clients = CROWD.get();
     for (int i = 0; i < clients.length; i++) {
-      if (clients[i] != null && hasEnded(clients[i])) {
-        clients[i].close();
+      long now = System.currentTimeMillis();
+      if (clients[i] != null && now >= clients[i].leavesAt()) {
+        clients[i].socket().close();
         clients[i] = null;
       }
       if (clients[i] == null) {
-        InetSocketAddress address =
-            new InetSocketAddress(Lab.loopback(), i % 2 == 0 ? port : ajpPort);
-        SocketChannel client = SocketChannel.open();
-        client.socket().connect(address, 2000);
-        client.configureBlocking(false);
+        SocketChannel socket = SocketChannel.open();
+        clients[i] = new Client(socket, now + IDLE_MS);
+        socket.socket().connect(new InetSocketAddress(Lab.loopback(), port), 2000);
         connections.incrementAndGet();
-        clients[i] = client;
       }
     }
     try {
-      Thread.sleep(20);
+      Thread.sleep(5);
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
     }
   }
-
-  private static boolean hasEnded(SocketChannel client) {
-    try {
-      return client.read(ByteBuffer.allocate(256)) < 0;
-    } catch (IOException reset) {
-      return true;
-    }
-  }
 }
--- a/review/common/Lab.java
+++ b/review/common/Lab.java
@@ -96,11 +96,10 @@
    * Starts the deploy file's run command with the variables of the platform, and with its limit on
    * file descriptors.
    */
-  Process server(
-      String name, int sockets, String options, Map<String, String> variables, Path tmpdir)
+  Process server(String name, int sockets, Map<String, String> variables, Path tmpdir)
       throws IOException {
     Files.createDirectories(tmpdir);
-    return start(name, "ulimit -n " + sockets + "; " + deploy("run") + options, variables, tmpdir);
+    return start(name, "ulimit -n " + sockets + "; " + deploy("run"), variables, tmpdir);
   }
 
   /** Starts a shell command in the root of the repository; its output goes to NAME.log. */
--- a/review/common/Unreadable.java
+++ b/review/common/Unreadable.java
@@ -20,7 +20,7 @@
             CLIENTS,
             TROUBLE_MS,
             (port, connections) -> Unreadable.misbehave(port, record, connections));
-    Lab.play(arguments, (lab, trouble) -> clients.play(lab, trouble, 512, ""));
+    Lab.play(arguments, (lab, trouble) -> clients.play(lab, trouble, 512, false));
   }
 
   /** A FastCGI management record (GET_VALUES) whose last name is longer than the record. */
