Release the buffers of an answer whose request turns out to be malformed

Callers saw: after about 1,000 FastCGI GET_VALUES records with a truncated name, from any client, the server read nothing any more. Health checks and requests of usual gateways had no answer, also after that client left.

Cause: FastCgiConnection.handleManagementRecord allocated two buffers and then decoded the record; the ProtocolException of a truncated pair left both unreleased. The allocator is pooled, so they were lost.

Change: Connection.send takes a MessageEncoder and owns the buffer, whatever the encoder throws; connections cannot allocate buffers any more. The query is decoded before its answer is encoded. Related: received bytes are released if no memory is left to join them to the buffered ones.

--- a/src/main/java/mothwing/admin/AdminConnection.java
+++ b/src/main/java/mothwing/admin/AdminConnection.java
@@ -45,9 +45,7 @@
                 in.readCharSequence(length, StandardCharsets.US_ASCII).toString(), operations)
             : AdminCommand.failure("a line has at most " + MAX_LINE_BYTES + " bytes");
     count(reply.startsWith("NO ") ? "answered-no" : "answered");
-    ByteBuf out = allocate(reply.length());
-    out.writeCharSequence(reply, StandardCharsets.US_ASCII);
-    send(out);
+    send(reply.length(), out -> out.writeCharSequence(reply, StandardCharsets.US_ASCII));
     close(CloseReason.ASKED, "");
     return true;
   }
--- a/src/main/java/mothwing/ajp/AjpConnection.java
+++ b/src/main/java/mothwing/ajp/AjpConnection.java
@@ -23,6 +23,7 @@
 public final class AjpConnection extends Connection {
   private static final byte[] NO_BYTES = new byte[0];
   private static final long LENGTH_UNKNOWN = -1;
+  private static final int ESTIMATED_HEAD_BYTES = 512;
 
   private final Broker broker;
   private PendingRequest open;
@@ -66,12 +67,14 @@
       }
       open = null;
       boolean reuse = !broker.isDraining();
-      ByteBuf out = allocate(512 + content.length);
-      Ajp.writeHeaders(out, status, Headers.reasonPhrase(status), headers);
-      Ajp.writeBody(out, content);
-      Ajp.writeEndResponse(out, reuse);
       count("answered-" + status);
-      send(out);
+      send(
+          ESTIMATED_HEAD_BYTES + content.length,
+          out -> {
+            Ajp.writeHeaders(out, status, Headers.reasonPhrase(status), headers);
+            Ajp.writeBody(out, content);
+            Ajp.writeEndResponse(out, reuse);
+          });
       if (!reuse) {
         close(CloseReason.DRAIN, "");
       }
@@ -122,13 +125,11 @@
     }
 
     void requestChunk() {
-      ByteBuf out = allocate(Ajp.HEADER_BYTES + 3);
       long wanted =
           length == LENGTH_UNKNOWN
               ? InboundRequest.MAX_BODY_BYTES + 1 - body.length
               : length - body.length;
-      Ajp.writeGetBodyChunk(out, (int) wanted);
-      send(out);
+      send(Ajp.HEADER_BYTES + 3, out -> Ajp.writeGetBodyChunk(out, (int) wanted));
     }
 
     void submit() {
@@ -185,9 +186,7 @@
       case Ajp.CPING -> {
         count("cpings");
         markIdentified();
-        ByteBuf out = allocate(Ajp.HEADER_BYTES + 1);
-        Ajp.writeCpong(out);
-        send(out);
+        send(Ajp.HEADER_BYTES + 1, Ajp::writeCpong);
       }
       case Ajp.FORWARD_REQUEST -> handleForwardRequest(in);
       default ->
--- a/src/main/java/mothwing/dependency/DependencyConnection.java
+++ b/src/main/java/mothwing/dependency/DependencyConnection.java
@@ -71,10 +71,12 @@
     pendingSince.put(requestId, manager.now());
     awaitsAnswerSince = Math.min(awaitsAnswerSince, manager.now());
     String line = DependencyProtocol.callLine(requestId, timeoutMillis, content.length);
-    ByteBuf out = allocate(DependencyProtocol.lineBytes(line) + content.length);
-    DependencyProtocol.writeLine(line, out);
-    DependencyProtocol.writeBlock(content, out);
-    send(out);
+    send(
+        DependencyProtocol.lineBytes(line) + content.length,
+        out -> {
+          DependencyProtocol.writeLine(line, out);
+          DependencyProtocol.writeBlock(content, out);
+        });
   }
 
   /** Abandons the pending call of a request, if there is one. */
@@ -84,9 +86,7 @@
     }
     abandoned.add(requestId);
     String line = DependencyProtocol.abandonLine(requestId);
-    ByteBuf out = allocate(DependencyProtocol.lineBytes(line));
-    DependencyProtocol.writeLine(line, out);
-    send(out);
+    send(DependencyProtocol.lineBytes(line), out -> DependencyProtocol.writeLine(line, out));
     closeIfRetiredAndIdle();
   }
 
--- a/src/main/java/mothwing/discovery/LoadReportConnection.java
+++ b/src/main/java/mothwing/discovery/LoadReportConnection.java
@@ -42,10 +42,8 @@
   void sendReport(boolean accepting) {
     awaitsResponse = true;
     String request = LoadReportProtocol.encodeReport(name, accepting);
-    ByteBuf out = allocate(request.length());
-    out.writeCharSequence(request, StandardCharsets.US_ASCII);
     count("reports");
-    send(out);
+    send(request.length(), out -> out.writeCharSequence(request, StandardCharsets.US_ASCII));
   }
 
   @Override
--- a/src/main/java/mothwing/dns/server/DnsTcp.java
+++ b/src/main/java/mothwing/dns/server/DnsTcp.java
@@ -57,9 +57,7 @@
   private void answer(DnsRequest request, byte[] answer) {
     engine.answered(request);
     if (open.remove(request) && !isClosed()) {
-      ByteBuf out = allocate(LENGTH + answer.length);
-      out.writeShort(answer.length).writeBytes(answer);
-      send(out);
+      send(LENGTH + answer.length, out -> out.writeShort(answer.length).writeBytes(answer));
     }
   }
 
--- a/src/main/java/mothwing/fastcgi/FastCgi.java
+++ b/src/main/java/mothwing/fastcgi/FastCgi.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.function.BiConsumer;
 import mothwing.net.CloseReason;
 import mothwing.net.ProtocolException;
@@ -28,6 +29,10 @@
   static final int UNKNOWN_ROLE = 3;
 
   private static final int MAX_CONTENT_BYTES = 0xFFFF;
+
+  /** The index of the length of the content within a header. */
+  private static final int LENGTH_INDEX = 4;
+
   private static final int MIN_LONG_LENGTH = 0x80;
 
   private FastCgi() {}
@@ -60,6 +65,21 @@
     out.writeInt(0).writeByte(protocolStatus).writeZero(3);
   }
 
+  /** Writes the record that answers a management record of an unknown type. */
+  static void writeUnknownType(ByteBuf out, int type) {
+    writeHeader(out, UNKNOWN_TYPE, 0, HEADER_BYTES);
+    out.writeByte(type).writeZero(7);
+  }
+
+  /** Writes the record that answers a query for variables, with those that are known. */
+  static void writeValuesResult(ByteBuf out, Map<String, String> values) {
+    int headerIndex = out.writerIndex();
+    writeHeader(out, GET_VALUES_RESULT, 0, 0);
+    int contentIndex = out.writerIndex();
+    values.forEach((name, value) -> writePair(out, name, value));
+    out.setShort(headerIndex + LENGTH_INDEX, out.writerIndex() - contentIndex);
+  }
+
   /** Writes a name-value pair. */
   static void writePair(ByteBuf out, String name, String value) {
     byte[] nameBytes = name.getBytes(StandardCharsets.ISO_8859_1);
--- a/src/main/java/mothwing/fastcgi/FastCgiConnection.java
+++ b/src/main/java/mothwing/fastcgi/FastCgiConnection.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import mothwing.broker.Broker;
 import mothwing.broker.Counters;
 import mothwing.broker.EventLog;
@@ -40,6 +41,15 @@
   private static final String HEADER_PREFIX = "HTTP_";
   private static final byte[] NO_BYTES = new byte[0];
 
+  /** The variables that a gateway may query, with their values. */
+  private static final Map<String, String> VALUES =
+      Map.of(
+          "FCGI_MAX_CONNS", Integer.toString(Broker.MAX_OPEN_REQUESTS),
+          "FCGI_MAX_REQS", Integer.toString(Broker.MAX_OPEN_REQUESTS),
+          "FCGI_MPXS_CONNS", "1");
+
+  private static final int VALUES_RESULT_BYTES = 96;
+
   private final Broker broker;
   private final Map<Integer, PendingRequest> open = new HashMap<>();
   private int bytesToSkip;
@@ -92,11 +102,13 @@
       headers.forEach(
           header -> head.append(header.name()).append(": ").append(header.value()).append("\r\n"));
       byte[] headBytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-      ByteBuf out = allocate(headBytes.length + content.length + 5 * FastCgi.HEADER_BYTES);
-      FastCgi.writeStream(out, FastCgi.STDOUT, id, headBytes, content);
-      FastCgi.writeEndRequest(out, id, FastCgi.REQUEST_COMPLETE);
       count("answered-" + status);
-      send(out);
+      send(
+          headBytes.length + content.length + 5 * FastCgi.HEADER_BYTES,
+          out -> {
+            FastCgi.writeStream(out, FastCgi.STDOUT, id, headBytes, content);
+            FastCgi.writeEndRequest(out, id, FastCgi.REQUEST_COMPLETE);
+          });
       if (!keepConnection) {
         close(CloseReason.ASKED, "");
       }
@@ -245,28 +257,14 @@
   }
 
   private void handleManagementRecord(int type, ByteBuf content) throws ProtocolException {
-    ByteBuf out = allocate(128);
-    if (type == FastCgi.GET_VALUES) {
-      markIdentified();
-      ByteBuf pairs = allocate(96);
-      FastCgi.readPairs(
-          content,
-          (name, value) -> {
-            switch (name) {
-              case "FCGI_MAX_REQS", "FCGI_MAX_CONNS" ->
-                  FastCgi.writePair(pairs, name, "" + Broker.MAX_OPEN_REQUESTS);
-              case "FCGI_MPXS_CONNS" -> FastCgi.writePair(pairs, name, "1");
-              default -> {}
-            }
-          });
-      FastCgi.writeHeader(out, FastCgi.GET_VALUES_RESULT, 0, pairs.readableBytes());
-      out.writeBytes(pairs);
-      pairs.release();
-    } else {
-      FastCgi.writeHeader(out, FastCgi.UNKNOWN_TYPE, 0, FastCgi.HEADER_BYTES);
-      out.writeByte(type).writeZero(7);
+    if (type != FastCgi.GET_VALUES) {
+      send(2 * FastCgi.HEADER_BYTES, out -> FastCgi.writeUnknownType(out, type));
+      return;
     }
-    send(out);
+    Map<String, String> values = new TreeMap<>();
+    FastCgi.readPairs(content, (name, ignored) -> values.computeIfAbsent(name, VALUES::get));
+    markIdentified();
+    send(VALUES_RESULT_BYTES, out -> FastCgi.writeValuesResult(out, values));
   }
 
   private void beginRequest(int id, ByteBuf content) throws ProtocolException {
@@ -281,10 +279,8 @@
     open.put(id, request);
     if (content.getUnsignedShort(0) != FastCgi.RESPONDER) {
       open.remove(id);
-      ByteBuf out = allocate(2 * FastCgi.HEADER_BYTES);
-      FastCgi.writeEndRequest(out, id, FastCgi.UNKNOWN_ROLE);
       count("unknown-role");
-      send(out);
+      send(2 * FastCgi.HEADER_BYTES, out -> FastCgi.writeEndRequest(out, id, FastCgi.UNKNOWN_ROLE));
     }
   }
 
--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -168,29 +168,33 @@
   }
 
   /**
-   * Allocates a buffer for bytes to be sent.
+   * Encodes and sends a message. Does nothing if the connection is closing.
    *
-   * @param size an estimate of the number of bytes
-   * @return an empty buffer
+   * @param estimatedBytes an estimate of the size of the message
+   * @param encoder encodes the message; what it throws is passed on, and nothing is sent
    */
-  protected final ByteBuf allocate(int size) {
-    return context.alloc().buffer(size);
-  }
-
-  /**
-   * Sends bytes, or discards them if the connection is closing.
-   *
-   * @param bytes the bytes; this class releases them
-   */
-  protected final void send(ByteBuf bytes) {
+  protected final void send(int estimatedBytes, MessageEncoder encoder) {
     if (closing) {
-      bytes.release();
       return;
     }
-    writer.write(context, bytes);
+    writer.write(context, encode(estimatedBytes, encoder));
     activityListener.run();
   }
 
+  private ByteBuf encode(int estimatedBytes, MessageEncoder encoder) {
+    ByteBuf out = context.alloc().buffer(estimatedBytes);
+    boolean complete = false;
+    try {
+      encoder.encode(out);
+      complete = true;
+      return out;
+    } finally {
+      if (!complete) {
+        out.release();
+      }
+    }
+  }
+
   /**
    * Closes the connection once everything sent has been flushed: the output is shut down first, and
    * further input is discarded for a bounded time.
@@ -263,7 +267,7 @@
       linger.countDiscarded(size, ctx);
       return;
     }
-    buffered = buffered == null ? received : concatenate(ctx, buffered, received);
+    buffer(received);
     timeouts.bytesReceived(now());
     if (!awaitingBudget) {
       decodeBuffered();
@@ -308,12 +312,22 @@
     }
   }
 
-  private static ByteBuf concatenate(ChannelHandlerContext ctx, ByteBuf first, ByteBuf second) {
-    ByteBuf combined = ctx.alloc().buffer(first.readableBytes() + second.readableBytes());
-    combined.writeBytes(first).writeBytes(second);
-    first.release();
-    second.release();
-    return combined;
+  /** Appends received bytes to the buffered ones; they are released even if no memory is left. */
+  private void buffer(ByteBuf received) {
+    if (buffered == null) {
+      buffered = received;
+      return;
+    }
+    ByteBuf first = buffered;
+    try {
+      buffered =
+          encode(
+              first.readableBytes() + received.readableBytes(),
+              out -> out.writeBytes(first).writeBytes(received));
+      first.release();
+    } finally {
+      received.release();
+    }
   }
 
   private void releaseBuffered() {
--- a/src/main/java/mothwing/pool/WorkerPoolConnection.java
+++ b/src/main/java/mothwing/pool/WorkerPoolConnection.java
@@ -169,10 +169,12 @@
   }
 
   private void command(String command) {
-    ByteBuf out = allocate(command.length() + 1);
-    out.writeCharSequence(command, StandardCharsets.UTF_8);
-    out.writeByte('\n');
-    send(out);
+    send(
+        command.length() + 1,
+        out -> {
+          out.writeCharSequence(command, StandardCharsets.UTF_8);
+          out.writeByte('\n');
+        });
   }
 
   @Override
--- a/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
+++ b/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.AbstractByteBufAllocator;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -213,14 +215,87 @@
 
   @Example
   void answersGetValues() {
-    byte[] name = "FCGI_MPXS_CONNS".getBytes(StandardCharsets.UTF_8);
-    byte[] pair = new byte[2 + name.length];
-    pair[0] = (byte) name.length;
-    System.arraycopy(name, 0, pair, 2, name.length);
+    byte[] pair = nameValuePair("FCGI_MPXS_CONNS");
     model.channel.writeInbound(Unpooled.copiedBuffer(Gateway.FastCgi.record(9, 0, pair)));
     ByteBuf out = model.channel.readOutbound();
     assertEquals(10, out.getByte(1));
     assertEquals('1', out.getByte(out.writerIndex() - 1));
     out.release();
   }
+
+  /**
+   * Guards against a leak of the buffers for an answer to a management record that turns out to be
+   * malformed: some thousand of them would use up all direct memory.
+   */
+  @Example
+  void releasesBuffersOfMalformedManagementRecords() {
+    ByteArrayOutputStream valid = new ByteArrayOutputStream();
+    for (int i = 0; i < 500; i++) {
+      valid.writeBytes(nameValuePair("FCGI_MAX_CONNS"));
+    }
+    byte[] truncatedLength = {(byte) 0x80, 0};
+    byte[] truncatedName = {100, 0};
+    for (byte[] malformed : List.of(truncatedLength, truncatedName)) {
+      for (byte[] prefix : List.of(new byte[0], valid.toByteArray())) {
+        byte[] content = Arrays.copyOf(prefix, prefix.length + malformed.length);
+        System.arraycopy(malformed, 0, content, prefix.length, malformed.length);
+        model.send(Gateway.FastCgi.record(9, 0, content));
+        assertTrue(model.isClosedWithReason("malformed"));
+        assertEquals(0, model.bufferedBytes());
+        model.reopen();
+      }
+    }
+  }
+
+  /** Guards against received bytes that are never released because no memory is left for more. */
+  @Example
+  void releasesReceivedBytesThatCannotBeBuffered() {
+    byte[] record = Gateway.FastCgi.begin(1);
+    model.send(Arrays.copyOf(record, 3));
+    model.channel.config().setAllocator(new ExhaustedAllocator());
+    ByteBuf received = Unpooled.copiedBuffer(record, 3, 3);
+    model.channel.writeInbound(received);
+    assertEquals(0, received.refCnt());
+    assertTrue(model.isClosedWithReason("fault"));
+  }
+
+  /** An allocator with no memory left. */
+  private static final class ExhaustedAllocator extends AbstractByteBufAllocator {
+    @Override
+    protected ByteBuf newHeapBuffer(int initialCapacity, int maxCapacity) {
+      throw new OutOfMemoryError("injected");
+    }
+
+    @Override
+    protected ByteBuf newDirectBuffer(int initialCapacity, int maxCapacity) {
+      throw new OutOfMemoryError("injected");
+    }
+
+    @Override
+    public boolean isDirectBufferPooled() {
+      return false;
+    }
+  }
+
+  /**
+   * Guards against decoding that leaves a buffer behind on any input to the management records,
+   * whole or cut.
+   */
+  @Property(seed = "1764576102")
+  void releasesBuffersOnArbitraryManagementRecords(
+      @ForAll @IntRange(min = 1, max = 12) int type,
+      @ForAll @Size(max = 300) byte[] content,
+      @ForAll @IntRange(max = 310) int cut) {
+    byte[] record = Gateway.FastCgi.record(type, 0, content);
+    model.send(Arrays.copyOf(record, Math.min(cut, record.length)));
+    model.send(Gateway.FastCgi.record(9, 0, nameValuePair("FCGI_MAX_REQS")));
+    model.checkClosed();
+  }
+
+  private static byte[] nameValuePair(String name) {
+    byte[] pair = new byte[2 + name.length()];
+    pair[0] = (byte) name.length();
+    System.arraycopy(name.getBytes(StandardCharsets.US_ASCII), 0, pair, 2, name.length());
+    return pair;
+  }
 }
--- a/src/test/java/mothwing/net/InterleavingsTest.java
+++ b/src/test/java/mothwing/net/InterleavingsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -224,6 +225,7 @@
           new FastCgiConnection(fixture.broker, fixture.lines::add, fixture.counters);
       table.add(connection);
       channel = fixture.open(connection);
+      channel.config().setAllocator(allocator);
       channel.closeFuture().addListener(closed -> table.remove(connection));
     }
 
@@ -320,6 +322,7 @@
   private BrokerFixture fixture;
   private PoolModel pool;
   private ConnectionTable table;
+  private UnpooledByteBufAllocator allocator;
   private List<ClientConnection> clients;
   private List<SentRequest> allRequests;
   private Map<String, Long> ranAt;
@@ -356,6 +359,7 @@
             .bound();
     fixture.broker.applySettings(withKeyedClass(BrokerFixture.settings(4.5, 2)));
     table = new ConnectionTable(60 * SECOND, fixture);
+    allocator = new UnpooledByteBufAllocator(false);
     allRequests = new ArrayList<>();
     createdRequests = 0;
     draining = false;
@@ -497,5 +501,9 @@
     }
     advance(20 * SECOND);
     assertTrue(fixture.broker.counts().startsWith("open=0 "), fixture.broker.counts());
+    clients.forEach(client -> client.channel.close());
+    clients.forEach(ClientConnection::read);
+    assertEquals(0, allocator.metric().usedHeapMemory(), "bytes of buffers never released");
+    assertEquals(0, allocator.metric().usedDirectMemory(), "bytes of buffers never released");
   }
 }
--- a/src/test/java/mothwing/testing/FrontModel.java
+++ b/src/test/java/mothwing/testing/FrontModel.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -52,6 +53,9 @@
   /** The connection under test. */
   public EmbeddedChannel channel;
 
+  /** Counts the bytes of all buffers that the connections under test hold. */
+  private final UnpooledByteBufAllocator allocator = new UnpooledByteBufAllocator(false);
+
   private final Function<BrokerFixture, Connection> connectionFactory;
   private final Supplier<Gateway> gatewayFactory;
 
@@ -72,6 +76,12 @@
   private void open() {
     gateway = gatewayFactory.get();
     channel = fixture.open(connectionFactory.apply(fixture));
+    channel.config().setAllocator(allocator);
+  }
+
+  /** Returns the bytes of the buffers that the connections have allocated and not released. */
+  public long bufferedBytes() {
+    return allocator.metric().usedHeapMemory() + allocator.metric().usedDirectMemory();
   }
 
   /** Sends bytes of the gateway and reads what the front writes at once. */
@@ -212,14 +222,15 @@
   }
 
   /**
-   * Closes the connection, and checks that it closed without a fault and logged one line if it was
-   * open.
+   * Closes the connection, and checks that it closed without a fault, released its buffers and
+   * logged one line if it was open.
    */
   public void checkClosed() {
     fixture.lines.clear();
     boolean open = channel.isOpen();
     channel.close();
     assertEquals(0, fixture.counters.get("faults"));
+    assertEquals(0, bufferedBytes(), "bytes of buffers that were never released");
     assertEquals(
         open ? 1 : 0,
         fixture.lines.stream().filter(line -> line.startsWith("connection-closed side=")).count());
