--- a/src/main/java/mothwing/fastcgi/FastCgiConnection.java
+++ b/src/main/java/mothwing/fastcgi/FastCgiConnection.java
@@ -6,9 +6,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import mothwing.broker.Broker;
 import mothwing.broker.Counters;
 import mothwing.broker.EventLog;
@@ -261,7 +261,7 @@
       send(2 * FastCgi.HEADER_BYTES, out -> FastCgi.writeUnknownType(out, type));
       return;
     }
-    Map<String, String> values = new TreeMap<>();
+    Map<String, String> values = new LinkedHashMap<>();
     FastCgi.readPairs(content, (name, ignored) -> values.computeIfAbsent(name, VALUES::get));
     markIdentified();
     send(VALUES_RESULT_BYTES, out -> FastCgi.writeValuesResult(out, values));
