Move the received bytes of a connection into ReceiveBuffer

Change: ReceiveBuffer owns the bytes that are not decoded yet, MessageEncoder.encode the buffer of a message that is being encoded. No behaviour changes.

--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -24,7 +24,7 @@
   private final CloseLinger linger = new CloseLinger();
   private final CoalescingWriter writer = new CoalescingWriter();
   private ChannelHandlerContext context;
-  private ByteBuf buffered;
+  private final ReceiveBuffer buffered = new ReceiveBuffer();
   private CloseReason reason = CloseReason.PEER_CLOSED;
   private String detail = "";
   private boolean closing;
@@ -177,24 +177,10 @@
     if (closing) {
       return;
     }
-    writer.write(context, encode(estimatedBytes, encoder));
+    writer.write(context, MessageEncoder.encode(context.alloc(), estimatedBytes, encoder));
     activityListener.run();
   }
 
-  private ByteBuf encode(int estimatedBytes, MessageEncoder encoder) {
-    ByteBuf out = context.alloc().buffer(estimatedBytes);
-    boolean complete = false;
-    try {
-      encoder.encode(out);
-      complete = true;
-      return out;
-    } finally {
-      if (!complete) {
-        out.release();
-      }
-    }
-  }
-
   /**
    * Closes the connection once everything sent has been flushed: the output is shut down first, and
    * further input is discarded for a bounded time.
@@ -267,7 +253,7 @@
       linger.countDiscarded(size, ctx);
       return;
     }
-    buffer(received);
+    buffered.append(received, ctx.alloc());
     timeouts.bytesReceived(now());
     if (!awaitingBudget) {
       decodeBuffered();
@@ -283,10 +269,8 @@
     } catch (RuntimeException defect) {
       fault(defect);
     }
-    if (buffered != null && (!buffered.isReadable() || isClosed())) {
-      releaseBuffered();
-    }
-    if (buffered == null) {
+    if (buffered.size() == 0 || isClosed()) {
+      buffered.clear();
       timeouts.bufferEmptied();
     }
     activityListener.run();
@@ -294,47 +278,24 @@
 
   private void decodeMessages() throws ProtocolException {
     boolean complete = true;
-    while (complete && !isClosed() && !awaitingBudget && buffered.isReadable()) {
+    while (complete && !isClosed() && !awaitingBudget && buffered.size() > 0) {
       if (readBudget != null && !readBudget.hasBudget()) {
         awaitingBudget = true;
         readBudget.enqueue(this);
         context.channel().config().setAutoRead(false);
-      } else if (decode(buffered)) {
+      } else if (decode(buffered.bytes())) {
         messages++;
         timeouts.messageDecoded(now());
       } else {
         complete = false;
       }
     }
-    if (!isClosed() && !awaitingBudget && buffered.readableBytes() > maxBufferedBytes) {
+    if (!isClosed() && !awaitingBudget && buffered.size() > maxBufferedBytes) {
       throw new ProtocolException(
           CloseReason.OVERSIZED, "incomplete message exceeds " + maxBufferedBytes + " bytes");
     }
   }
 
-  /** Appends received bytes to the buffered ones; they are released even if no memory is left. */
-  private void buffer(ByteBuf received) {
-    if (buffered == null) {
-      buffered = received;
-      return;
-    }
-    ByteBuf first = buffered;
-    try {
-      buffered =
-          encode(
-              first.readableBytes() + received.readableBytes(),
-              out -> out.writeBytes(first).writeBytes(received));
-      first.release();
-    } finally {
-      received.release();
-    }
-  }
-
-  private void releaseBuffered() {
-    buffered.release();
-    buffered = null;
-  }
-
   /** Applies back-pressure: nothing is read from a peer that does not read what was sent to it. */
   @Override
   public final void channelWritabilityChanged(ChannelHandlerContext ctx) {
@@ -394,9 +355,7 @@
       return;
     }
     inactive = true;
-    if (buffered != null) {
-      releaseBuffered();
-    }
+    buffered.clear();
     handleEnd();
     events.closed(reason, trafficFields(ctx), detail);
   }
