Fail only the incomplete request at a read timeout while answers are pending

Callers saw: a gateway's connection that fell quiet within one request was closed after 2.5 s with all complete requests on it unanswered, and their runs, orders that must run once among them, were stopped half done.

Cause: the read timeout belonged to the connection; ConnectionTable closed it without asking for pending answers, and the own close was taken for callers that had left.

Evidence: reason=half-sent and the suspends 2.55 s after the first byte of the cut request, the same order on another connection served.

Change: while answers are pending, each incomplete request times out alone (408) and its bytes are released and skipped; a message that belongs to no request waits for the last answer. Bounds are as before. ConnectionTimeouts is given the begin of the incomplete input; its test passes that, with the same expectations.

--- a/src/main/java/mothwing/ajp/AjpConnection.java
+++ b/src/main/java/mothwing/ajp/AjpConnection.java
@@ -146,7 +146,12 @@
   }
 
   @Override
-  protected long incompleteRequestSince() {
+  public boolean isAnswerPending() {
+    return open != null && !open.incomplete;
+  }
+
+  @Override
+  public long incompleteRequestSince() {
     return open != null && open.incomplete ? open.startedAt : NEVER;
   }
 
--- a/src/main/java/mothwing/dns/server/DnsTcp.java
+++ b/src/main/java/mothwing/dns/server/DnsTcp.java
@@ -66,6 +66,11 @@
     return open.isEmpty();
   }
 
+  @Override
+  public boolean isAnswerPending() {
+    return !open.isEmpty();
+  }
+
   @Override
   protected void onClosed() {
     for (DnsRequest one : new ArrayList<>(open)) {
--- a/src/main/java/mothwing/fastcgi/FastCgiConnection.java
+++ b/src/main/java/mothwing/fastcgi/FastCgiConnection.java
@@ -152,6 +152,13 @@
       reject("oversized-" + part);
     }
 
+    /** Fails the request because its remainder, which is skipped from now on, is overdue. */
+    void failIncompleteBefore(long time) {
+      if (!complete && startedAt < time) {
+        failIncomplete();
+      }
+    }
+
     /** Cancels the request on an abort by the gateway. The response frees the request id. */
     void abort() {
       count("aborted");
@@ -166,7 +173,22 @@
   }
 
   @Override
-  protected long incompleteRequestSince() {
+  public boolean isAnswerPending() {
+    for (PendingRequest request : open.values()) {
+      if (request.complete) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  @Override
+  public void failIncompleteRequests(long time) {
+    List.copyOf(open.values()).forEach(request -> request.failIncompleteBefore(time));
+  }
+
+  @Override
+  public long incompleteRequestSince() {
     long oldest = NEVER;
     for (PendingRequest request : open.values()) {
       oldest = request.complete ? oldest : Math.min(oldest, request.startedAt);
--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -14,10 +14,7 @@
  * can be decoded, bounds the buffered bytes, applies back-pressure by not reading while the peer
  * does not read, and writes one log line when it ends. Used on its event loop's thread only.
  */
-public abstract class Connection extends ChannelInboundHandlerAdapter {
-  /** A time that is never reached. */
-  protected static final long NEVER = Long.MAX_VALUE;
-
+public abstract class Connection extends ChannelInboundHandlerAdapter implements OpenRequests {
   private final int maxBufferedBytes;
   private final ConnectionEvents events;
   private final ConnectionTimeouts timeouts = new ConnectionTimeouts();
@@ -65,25 +62,6 @@
   /** Called once when the connection has ended or can send nothing more. */
   protected abstract void onClosed();
 
-  /**
-   * Returns whether no request is open on the connection.
-   *
-   * @return true if no request is open
-   */
-  public boolean isIdle() {
-    return true;
-  }
-
-  /**
-   * Returns when the oldest incomplete request began. Further bytes of that request do not change
-   * the time, so that a request sent byte by byte times out too.
-   *
-   * @return a time of {@link #now}, or {@link #NEVER} if no request is incomplete
-   */
-  protected long incompleteRequestSince() {
-    return NEVER;
-  }
-
   /**
    * Returns whether the connection may be closed: no request is open, no part of a message has been
    * received, nothing awaits the read budget, and the peer reads what is sent to it. A peer that
@@ -148,14 +126,44 @@
 
   /** Returns why the connection has timed out, or null if it has not. */
   final CloseReason timeoutReason(long now, long timeout) {
-    return now <= timeoutAt(timeout)
-        ? null
-        : timeouts.reason(now, timeout, incompleteRequestSince());
+    return now <= timeoutAt(timeout) ? null : timeouts.reason(now, timeout, incompleteInputSince());
   }
 
   /** Returns when the connection times out, or {@link #NEVER} if nothing is awaited. */
   final long timeoutAt(long timeout) {
-    return timeouts.timeoutAt(timeout, !closing && !awaitingBudget, incompleteRequestSince());
+    return timeouts.timeoutAt(timeout, !closing && !awaitingBudget, incompleteInputSince());
+  }
+
+  /**
+   * Returns when the input began that is incomplete and times out. While an answer is pending only
+   * requests time out, each on its own: an incomplete message that belongs to none is kept until
+   * the last answer is sent.
+   */
+  private long incompleteInputSince() {
+    long requestSince = incompleteRequestSince();
+    return isAnswerPending()
+        ? requestSince
+        : Math.min(requestSince, timeouts.incompleteMessageSince());
+  }
+
+  /**
+   * Ends what has timed out: the connection, or only the incomplete requests if the answers to
+   * others are pending.
+   *
+   * @param timeout why the connection has timed out
+   * @param startedBefore a request that began before this time has timed out
+   */
+  final void endTimedOut(CloseReason timeout, long startedBefore) {
+    if (timeout == CloseReason.NOT_READ) {
+      closeNow(timeout);
+    } else if (isAnswerPending()) {
+      failIncompleteRequests(startedBefore);
+      if (buffered.size() > 0 && !awaitingBudget) {
+        decodeBuffered(); // skips what was received of the failed requests
+      }
+    } else {
+      close(timeout, "");
+    }
   }
 
   /**
--- a/src/main/java/mothwing/net/ConnectionTable.java
+++ b/src/main/java/mothwing/net/ConnectionTable.java
@@ -10,9 +10,10 @@
 
 /**
  * The connections of one listener. Closes idle ones after the idle limit, and those that send
- * nothing, stop in the middle of a request or do not read after the peer timeout. A timing wheel
- * holds the deadlines, each armed for the earliest time at which the connection could expire, so
- * that activity which postpones a deadline costs nothing.
+ * nothing, stop in the middle of a request or do not read after the peer timeout. Where answers are
+ * pending on a connection, only the request that was not completed is ended. A timing wheel holds
+ * the deadlines, each armed for the earliest time at which the connection could expire, so that
+ * activity which postpones a deadline costs nothing.
  */
 final class ConnectionTable {
   private static final int WHEEL_SLOTS = 512;
@@ -122,10 +123,8 @@
 
     void closeIfExpired(long now) {
       CloseReason timeout = connection.timeoutReason(now, peerTimeout);
-      if (timeout == CloseReason.NOT_READ) {
-        connection.closeNow(timeout);
-      } else if (timeout != null) {
-        connection.close(timeout, "");
+      if (timeout != null) {
+        connection.endTimedOut(timeout, now - peerTimeout);
       } else if (!connection.isClosable()) {
         idleSince = Connection.NEVER;
       } else if (idleSince == Connection.NEVER) {
--- a/src/main/java/mothwing/net/ConnectionTimeouts.java
+++ b/src/main/java/mothwing/net/ConnectionTimeouts.java
@@ -26,6 +26,11 @@
     messageStartedAt = now;
   }
 
+  /** Returns when the incomplete message began that is buffered, or {@link Connection#NEVER}. */
+  long incompleteMessageSince() {
+    return messageStartedAt;
+  }
+
   /** Records that no byte of an incomplete message is buffered. */
   void bufferEmptied() {
     messageStartedAt = Connection.NEVER;
@@ -64,13 +69,14 @@
    *
    * @param timeout how long the peer may take
    * @param expectsInput whether input is awaited from the peer and not held up by this process
-   * @param requestStartedAt when the oldest incomplete request began, or {@link Connection#NEVER}
+   * @param inputIncompleteSince when the oldest incomplete request or message began, or {@link
+   *     Connection#NEVER}
    * @return a time, or {@link Connection#NEVER} if nothing is awaited
    */
-  long timeoutAt(long timeout, boolean expectsInput, long requestStartedAt) {
+  long timeoutAt(long timeout, boolean expectsInput, long inputIncompleteSince) {
     long since = writeBlockedSince;
     if (expectsInput) {
-      since = Math.min(since, inputAwaitedSince(requestStartedAt));
+      since = Math.min(since, inputIncompleteSince);
       since = identified ? since : Math.min(since, openedAt);
     }
     return since == Connection.NEVER ? Connection.NEVER : since + timeout;
@@ -81,19 +87,14 @@
    *
    * @param now the current time
    * @param timeout how long the peer may take
-   * @param requestStartedAt when the oldest incomplete request began, or {@link Connection#NEVER}
+   * @param inputIncompleteSince when the oldest incomplete request or message began, or {@link
+   *     Connection#NEVER}
    * @return the reason
    */
-  CloseReason reason(long now, long timeout, long requestStartedAt) {
+  CloseReason reason(long now, long timeout, long inputIncompleteSince) {
     if (writeBlockedSince < now - timeout) {
       return CloseReason.NOT_READ;
     }
-    return inputAwaitedSince(requestStartedAt) < now - timeout
-        ? CloseReason.HALF_SENT
-        : CloseReason.SILENT;
-  }
-
-  private long inputAwaitedSince(long requestStartedAt) {
-    return Math.min(messageStartedAt, requestStartedAt);
+    return inputIncompleteSince < now - timeout ? CloseReason.HALF_SENT : CloseReason.SILENT;
   }
 }
--- a/src/main/java/mothwing/net/FrontRequest.java
+++ b/src/main/java/mothwing/net/FrontRequest.java
@@ -17,6 +17,7 @@
   private static final String COUNTERS_PATH = "/counts";
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
+  private static final int REQUEST_TIMEOUT = 408;
   private static final int CONTENT_TOO_LARGE = 413;
   private static final int INTERNAL_ERROR = 500;
   private static final int UNAVAILABLE = 503;
@@ -95,6 +96,13 @@
         code.getBytes(StandardCharsets.ISO_8859_1));
   }
 
+  /** Answers an incomplete request whose remainder did not arrive in time. */
+  protected final void failIncomplete() {
+    String code = CloseReason.HALF_SENT.code();
+    countInvalid(code);
+    answer(REQUEST_TIMEOUT, List.of(), code.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
   /** Cancels the request after its caller has disconnected or aborted it. */
   public final void cancel() {
     if (exchange != null) {
--- a/src/main/java/mothwing/net/Headers.java
+++ b/src/main/java/mothwing/net/Headers.java
@@ -72,6 +72,7 @@
     return switch (status) {
       case 200 -> "OK";
       case 400 -> "Bad Request";
+      case 408 -> "Request Timeout";
       case 413 -> "Content Too Large";
       case 503 -> "Service Unavailable";
       default -> "Internal Server Error";
--- a/src/test/java/mothwing/dns/server/DnsDiskTest.java
+++ b/src/test/java/mothwing/dns/server/DnsDiskTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -72,4 +73,28 @@
       }
     }
   }
+
+  /**
+   * Guards against an update that is accepted but not answered because the next message on its
+   * connection stays incomplete for longer than the read timeout.
+   */
+  @Test
+  void answersUpdateOnSlowDiskBesideAnIncompleteMessage() throws Exception {
+    DnsTestClient.writeSite(folder, "", DnsTestClient.ZONE_HEADER, "till-key");
+    Path control = folder.resolve("control");
+    try (DnsProcess server = new DnsProcess(folder, "-Dmothwing.disk.control=" + control);
+        Socket socket = DnsTestClient.connect(server.address)) {
+      Files.writeString(control, "slow 3500");
+      byte[] update =
+          DnsTestClient.framed(
+              DnsTestClient.signed(
+                  DnsTestClient.update("slow", "10.6.0.1", true), DnsTestClient.key("till-key")));
+      byte[] incomplete = {0};
+      socket.getOutputStream().write(update);
+      socket.getOutputStream().write(incomplete);
+      assertEquals(Rcode.NOERROR, DnsTestClient.readMessage(socket).getRcode());
+      assertEquals(-1, socket.getInputStream().read(), "held open for an incomplete message");
+      Files.writeString(control, "");
+    }
+  }
 }
--- a/src/test/java/mothwing/net/ConnectionTimeoutsTest.java
+++ b/src/test/java/mothwing/net/ConnectionTimeoutsTest.java
@@ -12,7 +12,7 @@
   private final ConnectionTimeouts timeouts = new ConnectionTimeouts();
 
   private long timeoutAt() {
-    return timeouts.timeoutAt(TIMEOUT, true, NEVER);
+    return timeouts.timeoutAt(TIMEOUT, true, timeouts.incompleteMessageSince());
   }
 
   @Test
@@ -35,7 +35,8 @@
     timeouts.bytesReceived(20);
     timeouts.bytesReceived(90);
     assertEquals(120, timeoutAt());
-    assertEquals(CloseReason.HALF_SENT, timeouts.reason(121, TIMEOUT, NEVER));
+    assertEquals(
+        CloseReason.HALF_SENT, timeouts.reason(121, TIMEOUT, timeouts.incompleteMessageSince()));
     assertEquals(105, timeouts.timeoutAt(TIMEOUT, true, 5), "an older incomplete request");
     timeouts.bufferEmptied();
     assertEquals(NEVER, timeoutAt());
--- a/src/test/java/mothwing/net/InterleavingsTest.java
+++ b/src/test/java/mothwing/net/InterleavingsTest.java
@@ -36,14 +36,15 @@
 import net.jqwik.api.constraints.Size;
 
 /**
- * Interleaves bytes, answers, aborts, resets, the idle limit, reloads, a shutdown, and losses of
- * the pool connection with the messages on it, in random order. Each request that was read
- * completely gets one final answer, and a request that must run once runs once, whichever of its
- * attempts that is.
+ * Interleaves bytes, answers, aborts, resets, read timeouts, the idle limit, reloads, a shutdown,
+ * and losses of the pool connection with the messages on it, in random order. Each request that was
+ * read completely gets one final answer, and a request that must run once runs once, whichever of
+ * its attempts that is.
  */
 class InterleavingsTest {
   private static final long SECOND = 1_000_000;
   private static final int CONNECTIONS = 4;
+  private static final long PEER_TIMEOUT_MICROS = SECOND / 2;
   private static final long SLACK_MICROS = 150_000;
   private static final long MAX_DEADLINE_MICROS = 6 * SECOND;
   private static final long STOP_MICROS = 3_200_000;
@@ -294,6 +295,13 @@
         assertNotNull(request, "answer to an unknown request");
         request.answers++;
         assertEquals(1, request.answers, request.id + " is answered twice");
+        if (answer.status() == 408) { // what is sent of it from now on is skipped
+          request.abandoned = true;
+          assertTrue(
+              request.completedAt >= request.startedAt + PEER_TIMEOUT_MICROS,
+              request.id + " timed out although it was sent completely in time");
+          continue;
+        }
         assertTrue(
             request.completedAt <= fixture.now(),
             request.id + " is answered before it was sent completely");
@@ -358,7 +366,7 @@
                 ignored -> pool)
             .bound();
     fixture.broker.applySettings(withKeyedClass(BrokerFixture.settings(4.5, 2)));
-    table = new ConnectionTable(60 * SECOND, fixture);
+    table = new ConnectionTable(PEER_TIMEOUT_MICROS, fixture);
     allocator = new UnpooledByteBufAllocator(false);
     allRequests = new ArrayList<>();
     createdRequests = 0;
