Close a FastCGI connection as a request asked only when no answer is pending

Callers saw (in a test, not in production): the answer to a request without KEEP_CONN closed the connection with all other open requests on it, which had no answer and whose runs were stopped.

Change: the wish is kept, and the connection is closed with the last pending answer.

Measured: FastCgiConnectionTest.answersAllRequestsBeforeTheCloseThatOneAsksFor failed before, passes now.

--- a/src/main/java/mothwing/fastcgi/FastCgiConnection.java
+++ b/src/main/java/mothwing/fastcgi/FastCgiConnection.java
@@ -55,6 +55,9 @@
   private int bytesToSkip;
   private int skippedBytes;
 
+  /** Whether an answered request asked for the close of the connection. */
+  private boolean closeRequested;
+
   /**
    * Creates the handler of a new connection.
    *
@@ -109,7 +112,8 @@
             FastCgi.writeStream(out, FastCgi.STDOUT, id, headBytes, content);
             FastCgi.writeEndRequest(out, id, FastCgi.REQUEST_COMPLETE);
           });
-      if (!keepConnection) {
+      closeRequested |= !keepConnection;
+      if (closeRequested && !isAnswerPending()) {
         close(CloseReason.ASKED, "");
       }
     }
--- a/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
+++ b/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
@@ -247,6 +247,36 @@
     }
   }
 
+  /**
+   * Guards against a connection that is closed after the answer to a request that asks for it,
+   * while the answers to others are pending.
+   */
+  @Example
+  void answersAllRequestsBeforeTheCloseThatOneAsksFor() {
+    byte[] closing = order(1);
+    closing[10] = 0; // the flag that keeps the connection
+    model.send(closing);
+    model.send(order(2));
+    model.fixture.pass(10_000);
+    for (int id = 1; id <= 2; id++) {
+      assertTrue(model.channel.isOpen());
+      model.fixture.finish(BrokerFixture.id(id), RunOutcome.SUCCEEDED);
+      model.fixture.pass(1);
+      model.fixture.read(model.channel, model.gateway);
+      assertEquals(200, model.gateway.answers.remove().status());
+    }
+    assertTrue(model.isClosedWithReason("asked"));
+  }
+
+  private byte[] order(int id) {
+    return model.gateway.request(
+        id,
+        "/call/" + BrokerFixture.ORDER,
+        "",
+        Gateway.fields(BrokerFixture.id(id), model.fixture.wallClockMillis()),
+        new byte[20]);
+  }
+
   /** Guards against received bytes that are never released because no memory is left for more. */
   @Example
   void releasesReceivedBytesThatCannotBeBuffered() {
