Fail complete requests before a connection is closed over what follows them

Callers saw (in tests, not in production): malformed or oversized input, a 33rd open request, an AJP packet before the response, or a fault of this program closed the connection, and complete requests on it had no answer.

Cause: the same as for a half-sent request: an own close was taken for callers that had left.

Change: Connection.close asks the front to fail its pending requests while answers can still be sent. They are not served to their end, since a client whose input cannot be read is owed a close, an error or a refusal within 3 s.

--- a/src/main/java/mothwing/ajp/AjpConnection.java
+++ b/src/main/java/mothwing/ajp/AjpConnection.java
@@ -28,6 +28,9 @@
   private final Broker broker;
   private PendingRequest open;
 
+  /** Whether the gateway may send another request after the answer. */
+  private boolean reusable = true;
+
   /**
    * Creates the handler of a new connection.
    *
@@ -66,7 +69,7 @@
         return;
       }
       open = null;
-      boolean reuse = !broker.isDraining();
+      boolean reuse = reusable && !broker.isDraining();
       count("answered-" + status);
       send(
           ESTIMATED_HEAD_BYTES + content.length,
@@ -150,6 +153,14 @@
     return open != null && !open.incomplete;
   }
 
+  @Override
+  public void failPendingRequests() {
+    reusable = false;
+    if (isAnswerPending()) {
+      open.failAtClose();
+    }
+  }
+
   @Override
   public long incompleteRequestSince() {
     return open != null && open.incomplete ? open.startedAt : NEVER;
--- a/src/main/java/mothwing/fastcgi/FastCgiConnection.java
+++ b/src/main/java/mothwing/fastcgi/FastCgiConnection.java
@@ -166,8 +166,7 @@
     /** Cancels the request on an abort by the gateway. The response frees the request id. */
     void abort() {
       count("aborted");
-      cancel();
-      sendFailure("aborted");
+      cancelWithFailure("aborted");
     }
   }
 
@@ -191,6 +190,13 @@
     List.copyOf(open.values()).forEach(request -> request.failIncompleteBefore(time));
   }
 
+  @Override
+  public void failPendingRequests() {
+    List<PendingRequest> pending =
+        open.values().stream().filter(request -> request.complete).toList();
+    pending.forEach(PendingRequest::failAtClose);
+  }
+
   @Override
   public long incompleteRequestSince() {
     long oldest = NEVER;
--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -24,6 +24,7 @@
   private final ReceiveBuffer buffered = new ReceiveBuffer();
   private CloseReason reason = CloseReason.PEER_CLOSED;
   private String detail = "";
+  private boolean failingPending;
   private boolean closing;
   private boolean inactive;
   private boolean endHandled;
@@ -190,16 +191,25 @@
   }
 
   /**
-   * Closes the connection once everything sent has been flushed: the output is shut down first, and
-   * further input is discarded for a bounded time.
+   * Closes the connection once everything sent has been flushed: pending requests are failed, the
+   * output is shut down, and further input is discarded for a bounded time.
    *
    * @param closeReason the reason
    * @param closeDetail details of the reason, or an empty string
    */
   public final void close(CloseReason closeReason, String closeDetail) {
-    if (isClosed()) {
+    if (isClosed() || failingPending) {
       return;
     }
+    failingPending = true;
+    try {
+      failPendingRequests();
+    } finally {
+      shutDown(closeReason, closeDetail);
+    }
+  }
+
+  private void shutDown(CloseReason closeReason, String closeDetail) {
     closing = true;
     reason = closeReason;
     detail = closeDetail;
--- a/src/main/java/mothwing/net/FrontRequest.java
+++ b/src/main/java/mothwing/net/FrontRequest.java
@@ -21,6 +21,7 @@
   private static final int CONTENT_TOO_LARGE = 413;
   private static final int INTERNAL_ERROR = 500;
   private static final int UNAVAILABLE = 503;
+  private static final String CONNECTION_CLOSED_CODE = "connection-closed";
   private static final byte[] NO_CONTENT = new byte[0];
 
   private final Broker broker;
@@ -110,6 +111,21 @@
     }
   }
 
+  /**
+   * Cancels the request and answers it with a failure.
+   *
+   * @param code the reason
+   */
+  protected final void cancelWithFailure(String code) {
+    cancel();
+    sendFailure(code);
+  }
+
+  /** Fails the request because this side closes its connection over what followed it there. */
+  public final void failAtClose() {
+    cancelWithFailure(CONNECTION_CLOSED_CODE);
+  }
+
   private void answer(int status, List<Header> extra, byte[] content) {
     List<Header> headers = new ArrayList<>(extra);
     broker.freeValue().ifPresent(value -> headers.add(Headers.freeValue(value)));
--- a/src/main/java/mothwing/net/OpenRequests.java
+++ b/src/main/java/mothwing/net/OpenRequests.java
@@ -45,4 +45,10 @@
    * @param time a time of the connection's clock in microseconds
    */
   default void failIncompleteRequests(long time) {}
+
+  /**
+   * Fails the requests whose answers are pending, because this side closes the connection. Answers
+   * can still be sent.
+   */
+  default void failPendingRequests() {}
 }
--- a/src/test/java/mothwing/ajp/AjpConnectionTest.java
+++ b/src/test/java/mothwing/ajp/AjpConnectionTest.java
@@ -131,10 +131,12 @@
     assertTrue(model.channel.isOpen());
   }
 
+  /** Guards against a request that has no answer because of a packet behind it. */
   @Example
-  void closesConnectionOnPacketBeforeResponse() {
+  void failsRequestAndClosesConnectionOnPacketBeforeResponse() {
     model.send(Gateway.Ajp.forward("/call/" + BrokerFixture.LOOK, "", fields(), 0));
     model.send(Gateway.Ajp.cping());
+    assertEquals(500, gateway.answers.remove().status());
     assertTrue(model.isClosedWithReason("too-many-open"));
     assertEquals(0, model.fixture.broker.pendingCount(), "the request is cancelled");
   }
--- a/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
+++ b/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
@@ -11,11 +11,14 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import mothwing.control.FreeValue;
 import mothwing.control.RunOutcome;
 import mothwing.control.Settings;
 import mothwing.testing.FrontModel;
 import mothwing.testing.SettingsVariants;
+import mothwing.trial.Answer;
 import mothwing.trial.BrokerFixture;
 import mothwing.trial.Gateway;
 import net.jqwik.api.Example;
@@ -268,6 +271,50 @@
     assertTrue(model.isClosedWithReason("asked"));
   }
 
+  /**
+   * Guards against complete requests that have no answer because of what follows them on their
+   * connection.
+   */
+  @Example
+  void failsPendingRequestsBeforeItClosesOverInvalidInput() {
+    byte[] tooManyOpen = new byte[0];
+    for (int id = 100; id < 131; id++) {
+      byte[] begin = Gateway.FastCgi.begin(id);
+      tooManyOpen = Arrays.copyOf(tooManyOpen, tooManyOpen.length + begin.length);
+      System.arraycopy(begin, 0, tooManyOpen, tooManyOpen.length - begin.length, begin.length);
+    }
+    byte[] oversized =
+        Arrays.copyOf(new byte[] {1, 5, 0, 99, (byte) 0xFF, (byte) 0xFF}, 8 + 0xFFFF);
+    byte[] oversizedTwice = Arrays.copyOf(oversized, 3 * oversized.length);
+    System.arraycopy(oversized, 0, oversizedTwice, oversized.length, oversized.length);
+    System.arraycopy(oversized, 0, oversizedTwice, 2 * oversized.length, oversized.length);
+    Map<String, byte[]> inputs =
+        Map.of(
+            "malformed", new byte[] {2, 0, 0, 0, 0, 0, 0, 0},
+            "too-many-open", tooManyOpen,
+            "oversized", oversizedTwice);
+    int id = 0;
+    for (Map.Entry<String, byte[]> input : inputs.entrySet()) {
+      int first = ++id;
+      int second = ++id;
+      model.send(order(first));
+      model.send(order(second));
+      model.fixture.pass(10_000);
+      assertEquals(2, model.fixture.running.size());
+      model.send(input.getValue());
+      assertEquals(
+          Set.of(first, second),
+          model.gateway.answers.stream().map(Answer::id).collect(Collectors.toSet()));
+      assertTrue(model.gateway.answers.stream().allMatch(answer -> answer.status() == 500));
+      assertEquals(2, model.gateway.answers.size());
+      assertTrue(model.isClosedWithReason(input.getKey()));
+      model.fixture.pass(10_000);
+      assertEquals(Map.of(), model.fixture.running, "a run continues without a caller");
+      assertEquals(0, model.fixture.broker.pendingCount());
+      model.reopen();
+    }
+  }
+
   private byte[] order(int id) {
     return model.gateway.request(
         id,
@@ -280,6 +327,8 @@
   /** Guards against received bytes that are never released because no memory is left for more. */
   @Example
   void releasesReceivedBytesThatCannotBeBuffered() {
+    model.send(order(1));
+    model.fixture.pass(10_000);
     byte[] record = Gateway.FastCgi.begin(1);
     model.send(Arrays.copyOf(record, 3));
     model.channel.config().setAllocator(new ExhaustedAllocator());
@@ -287,6 +336,8 @@
     model.channel.writeInbound(received);
     assertEquals(0, received.refCnt());
     assertTrue(model.isClosedWithReason("fault"));
+    model.fixture.pass(10_000);
+    assertEquals(Map.of(), model.fixture.running, "a run continues without a caller");
   }
 
   /** An allocator with no memory left. */
