Count the requests that are failed because their connection is closed

Change: SIDE-failed-at-close counts them, beside SIDE-rejected-half-sent for requests that time out alone.

Measured: the tests of both fronts check the counts; they pass.

--- a/src/main/java/mothwing/ajp/AjpConnection.java
+++ b/src/main/java/mothwing/ajp/AjpConnection.java
@@ -157,6 +157,7 @@
   public void failPendingRequests() {
     reusable = false;
     if (isAnswerPending()) {
+      count("failed-at-close");
       open.failAtClose();
     }
   }
--- a/src/main/java/mothwing/fastcgi/FastCgiConnection.java
+++ b/src/main/java/mothwing/fastcgi/FastCgiConnection.java
@@ -194,7 +194,11 @@
   public void failPendingRequests() {
     List<PendingRequest> pending =
         open.values().stream().filter(request -> request.complete).toList();
-    pending.forEach(PendingRequest::failAtClose);
+    pending.forEach(
+        request -> {
+          count("failed-at-close");
+          request.failAtClose();
+        });
   }
 
   @Override
--- a/src/test/java/mothwing/ajp/AjpConnectionTest.java
+++ b/src/test/java/mothwing/ajp/AjpConnectionTest.java
@@ -137,6 +137,7 @@
     model.send(Gateway.Ajp.forward("/call/" + BrokerFixture.LOOK, "", fields(), 0));
     model.send(Gateway.Ajp.cping());
     assertEquals(500, gateway.answers.remove().status());
+    assertEquals(1, model.fixture.counters.get("ajp-failed-at-close"));
     assertTrue(model.isClosedWithReason("too-many-open"));
     assertEquals(0, model.fixture.broker.pendingCount(), "the request is cancelled");
   }
--- a/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
+++ b/src/test/java/mothwing/fastcgi/FastCgiConnectionTest.java
@@ -313,6 +313,7 @@
       assertEquals(0, model.fixture.broker.pendingCount());
       model.reopen();
     }
+    assertEquals(2L * inputs.size(), model.fixture.counters.get("fastcgi-failed-at-close"));
   }
 
   private byte[] order(int id) {
