--- a/src/main/java/mothwing/trial/BrokerFixture.java
+++ b/src/main/java/mothwing/trial/BrokerFixture.java
@@ -172,7 +172,7 @@
       byte[] bytes = new byte[out.readableBytes()];
       out.readBytes(bytes);
       out.release();
-      gateway.came(bytes);
+      gateway.receive(bytes);
     }
   }
 
--- a/src/main/java/mothwing/trial/FleetStage.java
+++ b/src/main/java/mothwing/trial/FleetStage.java
@@ -39,7 +39,7 @@
     final InetSocketAddress listen;
     final InetSocketAddress advertise;
     final SocketChannel clients;
-    final SocketChannel door;
+    final SocketChannel adminPort;
     final StandInPool pool = new StandInPool(1);
     ServerProcess now;
 
@@ -55,7 +55,7 @@
       advertise = relay.open(name, "nobody", ProcessStage.address(RELAY_NET, place), listen);
       relay.openDatagrams(name, advertise, listen);
       clients = ServerProcess.port(own);
-      door = ServerProcess.port(own);
+      adminPort = ServerProcess.port(own);
     }
 
     /** Starts its server, with the given machines as seeds. */
@@ -87,7 +87,7 @@
           new ServerProcess.Place(
               as,
               (InetSocketAddress) clients.getLocalAddress(),
-              (InetSocketAddress) door.getLocalAddress(),
+              (InetSocketAddress) adminPort.getLocalAddress(),
               pool.address(),
               new InetSocketAddress("127.0.0.1", 1));
       now =
@@ -198,7 +198,7 @@
       }
       one.pool.close();
       one.clients.close();
-      one.door.close();
+      one.adminPort.close();
     }
     relay.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
--- a/src/main/java/mothwing/trial/Gateway.java
+++ b/src/main/java/mothwing/trial/Gateway.java
@@ -10,42 +10,40 @@
 import java.util.Map;
 import java.util.Queue;
 
-/**
- * The bytes of a stand-in gateway: what it sends for a request, and what it makes of what comes
- * back.
- */
+/** The protocol of a stand-in gateway: encodes requests and decodes answers. */
 public abstract class Gateway {
   /** Kilobytes that are booked for each held request. */
   static final double RESERVE_KB = 24.5;
 
-  /** Answers read and not taken yet. */
+  /** Answers that were decoded and not removed yet. */
   public final Queue<Answer> answers = new ArrayDeque<>();
 
-  /** Whether the server said that the connection must not be used again. */
+  /** Whether the server has forbidden the reuse of the connection. */
   public boolean refusesReuse;
 
-  private byte[] came = new byte[0];
+  private byte[] received = new byte[0];
 
-  /** Takes bytes of the server. */
-  public final void came(byte[] more) {
-    ByteBuffer in = ByteBuffer.allocate(came.length + more.length).put(came).put(more).flip();
-    int whole;
+  /** Receives bytes of the server. */
+  public final void receive(byte[] bytes) {
+    ByteBuffer in =
+        ByteBuffer.allocate(received.length + bytes.length).put(received).put(bytes).flip();
+    int decoded;
     do {
-      whole = in.position();
-    } while (piece(in));
-    in.position(whole);
-    came = new byte[in.remaining()];
-    in.get(came);
+      decoded = in.position();
+    } while (decode(in));
+    in.position(decoded);
+    received = new byte[in.remaining()];
+    in.get(received);
   }
 
-  /** Takes one whole piece, or says that none is there. */
-  protected abstract boolean piece(ByteBuffer in);
+  /** Decodes one complete message. Returns false if there is none. */
+  protected abstract boolean decode(ByteBuffer in);
 
-  /** The bytes of one request, whole. */
+  /** Encodes one complete request. */
   public abstract byte[] request(
       int id, String path, String query, Map<String, String> fields, byte[] body);
 
-  /** The fields of a request that is as the protocol wants it. */
+  /** Returns the fields of a valid request. */
   public static Map<String, String> fields(String traceId, long acceptedAtMs) {
     Map<String, String> all = new LinkedHashMap<>();
     all.put("Trace-Id", traceId);
@@ -57,7 +55,7 @@
     return all;
   }
 
-  /** Speaks FastCGI, many requests at a time. */
+  /** FastCGI, with many requests at the same time. */
   public static final class FastCgi extends Gateway {
     private final Map<Integer, ByteArrayOutputStream> outs = new HashMap<>();
 
@@ -78,7 +76,7 @@
       return record(1, id, new byte[] {0, 1, 1, 0, 0, 0, 0, 0});
     }
 
-    /** The record that says the gateway has stopped waiting. */
+    /** The record that aborts a request. */
     public static byte[] abort(int id) {
       return record(2, id, new byte[0]);
     }
@@ -111,7 +109,7 @@
     }
 
     @Override
-    protected boolean piece(ByteBuffer in) {
+    protected boolean decode(ByteBuffer in) {
       if (in.remaining() < 8) {
         return false;
       }
@@ -146,10 +144,10 @@
     }
   }
 
-  /** Speaks AJP/1.3, one request at a time. */
+  /** AJP/1.3, with one request at a time. */
   public static final class Ajp extends Gateway {
-    /** Bytes of the body that the server asked for last, or 0. */
-    public int asked;
+    /** Bytes of the body that the server requested last, or 0. */
+    public int requestedBytes;
 
     /** Answers to CPing. */
     public int pongs;
@@ -189,7 +187,7 @@
       out.write(0);
     }
 
-    /** Forward Request alone; a length under 0 stands for one that is not told. */
+    /** A Forward Request packet; a length below 0 stands for one that is not stated. */
     public static byte[] forward(
         String path, String query, Map<String, String> fields, int length) {
       ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -225,7 +223,7 @@
     }
 
     @Override
-    protected boolean piece(ByteBuffer in) {
+    protected boolean decode(ByteBuffer in) {
       if (in.remaining() < 4 || in.remaining() < 4 + in.getShort(in.position() + 2)) {
         return false;
       }
@@ -250,7 +248,7 @@
           refusesReuse = in.get() == 0;
           answers.add(new Answer(0, status, fields, content.toByteArray()));
         }
-        case 6 -> asked = in.getShort();
+        case 6 -> requestedBytes = in.getShort();
         case 9 -> pongs++;
         default -> throw new AssertionError("a packet that no container sends");
       }
--- a/src/main/java/mothwing/trial/GatewayConnection.java
+++ b/src/main/java/mothwing/trial/GatewayConnection.java
@@ -43,7 +43,7 @@
       if (came < 0) {
         throw new IOException("closed without an answer");
       }
-      gateway.came(Arrays.copyOf(room, came));
+      gateway.receive(Arrays.copyOf(room, came));
     }
     return gateway.answers.remove();
   }
--- a/src/main/java/mothwing/trial/GatewaySockets.java
+++ b/src/main/java/mothwing/trial/GatewaySockets.java
@@ -231,7 +231,7 @@
       in.readBytes(bytes);
       in.release();
       try {
-        codec.came(bytes);
+        codec.receive(bytes);
       } catch (RuntimeException unreadable) {
         channel.close();
         return;
--- a/src/main/java/mothwing/trial/ProcessStage.java
+++ b/src/main/java/mothwing/trial/ProcessStage.java
@@ -48,7 +48,7 @@
   private final class Running {
     final ServerProcess process;
     final StandInPool pool;
-    final SocketChannel door;
+    final SocketChannel adminPort;
     final History.Life life;
     private long stillSince = -1;
     private long stoodStill;
@@ -66,10 +66,10 @@
       }
     }
 
-    Running(ServerProcess process, StandInPool pool, SocketChannel door, History.Life life) {
+    Running(ServerProcess process, StandInPool pool, SocketChannel adminPort, History.Life life) {
       this.process = process;
       this.pool = pool;
-      this.door = door;
+      this.adminPort = adminPort;
       this.life = life;
     }
   }
@@ -333,10 +333,10 @@
     machine.starts++;
     StandInPool pool =
         new StandInPool(address(4, machine.number), machine.cores, machine.lock, machine.starts);
-    InetSocketAddress poolDoor =
+    InetSocketAddress poolAddress =
         relay.open(
             Trial.pool(machine.name), machine.name, address(5, machine.number), pool.address());
-    SocketChannel door = ServerProcess.port(address(1, machine.number));
+    SocketChannel adminPort = ServerProcess.port(address(1, machine.number));
     History.Life life = new History.Life(machine.name, machine.starts, epoch.now());
     Path log = folder.resolve(machine.name + ".log");
     ServerProcess process =
@@ -346,15 +346,15 @@
                 machine.name,
                 new InetSocketAddress(
                     address(1, machine.number), ServerProcess.number(machine.listen)),
-                new InetSocketAddress(address(1, machine.number), ServerProcess.number(door)),
-                poolDoor,
+                new InetSocketAddress(address(1, machine.number), ServerProcess.number(adminPort)),
+                poolAddress,
                 machine.announce),
             trial.fleet(),
             program,
             environment,
             line -> append(log, line));
     history.lives.add(life);
-    Running running = new Running(process, pool, door, life);
+    Running running = new Running(process, pool, adminPort, life);
     process
         .ended()
         .thenAccept(
@@ -559,7 +559,7 @@
       machine.running.remove(was);
       if (power) {
         was.pool.close();
-        was.door.close();
+        was.adminPort.close();
       }
     }
     machine.now =
@@ -622,7 +622,7 @@
     }
     who.process.await();
     who.pool.close();
-    who.door.close();
+    who.adminPort.close();
     machine.running.remove(who);
     if (machine.now == who) {
       machine.now = null;
@@ -736,7 +736,7 @@
         for (Running running : one.running) {
           running.process.close();
           running.pool.close();
-          running.door.close();
+          running.adminPort.close();
         }
       } catch (IOException closed) {
         // all that is wanted is its end
--- a/src/main/java/mothwing/trial/ServerProcess.java
+++ b/src/main/java/mothwing/trial/ServerProcess.java
@@ -18,7 +18,7 @@
 import java.util.function.Consumer;
 import mothwing.settings.Addresses;
 
-/** A shop server as a process of its own, with an operators' door; its log is read as it comes. */
+/** A shop server as a process of its own, with an admin address; its log is read line by line. */
 public final class ServerProcess implements AutoCloseable {
   /** As it is started in service: the deploy file has the same bounds. */
   static final List<String> OPTIONS =
@@ -34,8 +34,8 @@
           "-XX:-UsePerfData");
 
   private static final int RUN_FACTOR = 16; // memory of a started run for that of a held request
-  private static final int DOOR_PATIENCE_MS = 1000;
-  private static final int MOST_LINES = 20_000;
+  private static final int ADMIN_TIMEOUT_MS = 1000;
+  private static final int MAX_LINES = 20_000;
 
   /** Occurs in a line for each call of an operator; a stage that polls would fill the log. */
   private static final String ANSWERED_OPERATOR =
@@ -45,34 +45,34 @@
   public final List<String> lines = Collections.synchronizedList(new ArrayList<>());
 
   private final SupervisedProcess process;
-  private final InetSocketAddress door;
+  private final InetSocketAddress adminAddress;
 
   /** Where one server stands; all on loopback addresses. */
   record Place(
       String name,
       InetSocketAddress listen,
-      InetSocketAddress door,
+      InetSocketAddress adminAddress,
       InetSocketAddress pool,
       InetSocketAddress announce) {}
 
   /** Starts one for clients at a port, in front of a pool; all its addresses are on loopback. */
-  public ServerProcess(Path folder, int port, int door, StandInPool pool) throws IOException {
-    this(folder, place(port, door, pool), Trial.Fleet.single(), "mothwing.Main", line -> {});
+  public ServerProcess(Path folder, int port, int adminPort, StandInPool pool) throws IOException {
+    this(folder, place(port, adminPort, pool), Trial.Fleet.single(), "mothwing.Main", line -> {});
   }
 
   /** Starts one whose runs may call a tier below. */
   public static ServerProcess calling(
-      Path folder, int port, int door, StandInPool pool, InetSocketAddress ledger)
+      Path folder, int port, int adminPort, StandInPool pool, InetSocketAddress ledger)
       throws IOException {
     Files.createDirectories(folder);
     String text =
-        config(port, door, pool)
+        config(port, adminPort, pool)
             .replaceFirst("\\{", "{\"ledger\":\"" + Addresses.format(ledger) + "\",")
             .replace(
                 "\"Extra\":{", "\"Extra\":{\"DependsOn\":\"tier\",\"CallsByClass\":[true,true],");
     return new ServerProcess(
-        Files.writeString(folder.resolve("config-" + door + ".json"), text),
-        local(door),
+        Files.writeString(folder.resolve("config-" + adminPort + ".json"), text),
+        local(adminPort),
         "mothwing.Main",
         null,
         Map.of(),
@@ -89,7 +89,7 @@
   ServerProcess(
       Path folder, Place place, Trial.Fleet fleet, String program, Path site, Consumer<String> log)
       throws IOException {
-    this(written(folder, place, fleet), place.door(), program, site, Map.of(), log);
+    this(written(folder, place, fleet), place.adminAddress(), program, site, Map.of(), log);
   }
 
   /** The same with further variables in its environment. */
@@ -101,24 +101,24 @@
       Map<String, String> environment,
       Consumer<String> log)
       throws IOException {
-    this(written(folder, place, fleet), place.door(), program, null, environment, log);
+    this(written(folder, place, fleet), place.adminAddress(), program, null, environment, log);
   }
 
   private static Path written(Path folder, Place place, Trial.Fleet fleet) throws IOException {
     Files.createDirectories(folder);
     return Files.writeString(
-        folder.resolve("config-" + place.door().getPort() + ".json"), config(place, fleet));
+        folder.resolve("config-" + place.adminAddress().getPort() + ".json"), config(place, fleet));
   }
 
   private ServerProcess(
       Path file,
-      InetSocketAddress door,
+      InetSocketAddress adminAddress,
       String program,
       Path site,
       Map<String, String> environment,
       Consumer<String> log)
       throws IOException {
-    this.door = door;
+    this.adminAddress = adminAddress;
     List<String> words = new ArrayList<>(List.of("serve", "--config", file.toString()));
     if (site != null) {
       words.addAll(List.of("--site", site.toString()));
@@ -128,15 +128,15 @@
             SupervisedProcess.java(OPTIONS, program, words.toArray(String[]::new)),
             environment,
             line -> {
-              if (lines.size() < MOST_LINES && !line.contains(ANSWERED_OPERATOR)) {
+              if (lines.size() < MAX_LINES && !line.contains(ANSWERED_OPERATOR)) {
                 lines.add(line);
               }
               log.accept(line);
             });
   }
 
-  private static Place place(int port, int door, StandInPool pool) {
-    return new Place("n1", local(port), local(door), pool.address(), local(1));
+  private static Place place(int port, int adminPort, StandInPool pool) {
+    return new Place("n1", local(port), local(adminPort), pool.address(), local(1));
   }
 
   private static InetSocketAddress local(int port) {
@@ -144,8 +144,8 @@
   }
 
   /** A configuration for clients at a port and operators at another. */
-  public static String config(int port, int door, StandInPool pool) {
-    return config(place(port, door, pool), Trial.Fleet.single());
+  public static String config(int port, int adminPort, StandInPool pool) {
+    return config(place(port, adminPort, pool), Trial.Fleet.single());
   }
 
   /** A configuration. */
@@ -164,7 +164,7 @@
             .replace('\'', '"'),
         place.name(),
         Addresses.format(place.listen()),
-        Addresses.format(place.door()),
+        Addresses.format(place.adminAddress()),
         Addresses.format(place.pool()),
         Addresses.format(place.announce()),
         fleet.stopMs(),
@@ -201,11 +201,11 @@
     return ((InetSocketAddress) port.getLocalAddress()).getPort();
   }
 
-  /** Makes a call at its door; an empty text where nobody answers within a second. */
+  /** Makes a call at its admin address. Returns an empty text without an answer within a second. */
   public String call(String line) {
     try (Socket socket = new Socket()) {
-      socket.setSoTimeout(DOOR_PATIENCE_MS);
-      socket.connect(door, DOOR_PATIENCE_MS);
+      socket.setSoTimeout(ADMIN_TIMEOUT_MS);
+      socket.connect(adminAddress, ADMIN_TIMEOUT_MS);
       socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     } catch (IOException closed) {
--- a/src/test/java/mothwing/ajp/AjpConnectionTest.java
+++ b/src/test/java/mothwing/ajp/AjpConnectionTest.java
@@ -98,7 +98,7 @@
   void requestsBodyOfUnknownLength() {
     byte[] body = new byte[1500];
     model.send(Gateway.Ajp.forward("/call/" + BrokerFixture.LOOK, "", fields(), -1));
-    assertTrue(gateway.asked >= body.length);
+    assertTrue(gateway.requestedBytes >= body.length);
     model.send(Gateway.Ajp.chunk(body, 0, 1000));
     assertEquals(0, model.fixture.counters.get("read"));
     model.send(Gateway.Ajp.chunk(body, 1000, 1500));
@@ -114,9 +114,9 @@
   void requestsRemainderOfChunkedBody() {
     byte[] body = new byte[2000];
     model.send(Gateway.Ajp.forward("/call/" + BrokerFixture.LOOK, "", fields(), body.length));
-    assertEquals(0, gateway.asked, "the first chunk is sent without a request");
+    assertEquals(0, gateway.requestedBytes, "the first chunk is sent without a request");
     model.send(Gateway.Ajp.chunk(body, 0, 1200));
-    assertEquals(800, gateway.asked);
+    assertEquals(800, gateway.requestedBytes);
     model.send(Gateway.Ajp.chunk(body, 1200, 2000));
     assertEquals(1, model.fixture.counters.get("read"));
   }
--- a/src/test/java/mothwing/testing/RawGatewayConnection.java
+++ b/src/test/java/mothwing/testing/RawGatewayConnection.java
@@ -82,7 +82,7 @@
       if (received < 0) {
         return null;
       }
-      gateway.came(Arrays.copyOf(buffer, received));
+      gateway.receive(Arrays.copyOf(buffer, received));
     }
     return gateway.answers.remove();
   }
--- a/src/test/java/mothwing/trial/CallsTest.java
+++ b/src/test/java/mothwing/trial/CallsTest.java
@@ -55,14 +55,14 @@
   @Test
   void callsAreMadeAcrossBrokenLinks() throws Exception {
     try (SocketChannel port = ServerProcess.port();
-        SocketChannel door = ServerProcess.port();
+        SocketChannel adminPort = ServerProcess.port();
         StandInPool pool = StandInPool.calling(4, 2);
         StandInDependency ledger = new StandInDependency(40);
         ServerProcess server =
             ServerProcess.calling(
                 folder,
                 ServerProcess.number(port),
-                ServerProcess.number(door),
+                ServerProcess.number(adminPort),
                 pool,
                 ledger.address())) {
       server.awaitYes();
--- a/src/test/java/mothwing/witness/FrontWitness.java
+++ b/src/test/java/mothwing/witness/FrontWitness.java
@@ -43,7 +43,7 @@
         .outputs().stream()
             .filter(line -> !line.startsWith("open="))
             .map(HexFormat.of()::parseHex)
-            .forEach(gateway::came);
+            .forEach(gateway::receive);
   }
 
   private void runStep(String command, String argument) {
