Read the socket before a read timeout, and count no time while nothing is read

Callers saw (in tests, not in production): a request failed as half-sent although its rest lay in the socket, because the server did not read from a connection whose answers were not read, or had not come to it yet.

Cause: the read timeout counted the time in which this side itself did not read, and acted without a look at the socket, unlike eviction and the end of idle connections.

Measured: ReadTimeoutTest.countsNoTimeWhileUnreadAnswersHoldUpItsOwnReads and readsTheSocketBeforeATimeout failed before, pass now; 85 tests of connections and servers pass.

--- a/src/main/java/mothwing/net/Connection.java
+++ b/src/main/java/mothwing/net/Connection.java
@@ -132,7 +132,8 @@
 
   /** Returns when the connection times out, or {@link #NEVER} if nothing is awaited. */
   final long timeoutAt(long timeout) {
-    return timeouts.timeoutAt(timeout, !closing && !awaitingBudget, incompleteInputSince());
+    boolean reads = !closing && !awaitingBudget && !timeouts.isWriteBlocked();
+    return timeouts.timeoutAt(timeout, reads, incompleteInputSince());
   }
 
   /**
--- a/src/main/java/mothwing/net/ConnectionTable.java
+++ b/src/main/java/mothwing/net/ConnectionTable.java
@@ -121,8 +121,18 @@
           : idleLimit;
     }
 
-    void closeIfExpired(long now) {
+    /** Returns why the connection has timed out, after reading what lies in its socket, or null. */
+    private CloseReason timeoutReason(long now) {
       CloseReason timeout = connection.timeoutReason(now, peerTimeout);
+      if (timeout == null || timeout == CloseReason.NOT_READ) {
+        return timeout;
+      }
+      connection.readNow();
+      return connection.timeoutReason(now, peerTimeout);
+    }
+
+    void closeIfExpired(long now) {
+      CloseReason timeout = timeoutReason(now);
       if (timeout != null) {
         connection.endTimedOut(timeout, now - peerTimeout);
       } else if (!connection.isClosable()) {
--- a/src/main/java/mothwing/net/ConnectionTimeouts.java
+++ b/src/main/java/mothwing/net/ConnectionTimeouts.java
@@ -44,6 +44,11 @@
     writeBlockedSince = Math.min(writeBlockedSince, now);
   }
 
+  /** Returns whether output awaits the peer; nothing is read from it meanwhile. */
+  boolean isWriteBlocked() {
+    return writeBlockedSince != Connection.NEVER;
+  }
+
   /** Records that the peer has read enough for more to be sent. */
   void writeResumed() {
     writeBlockedSince = Connection.NEVER;
@@ -61,7 +66,7 @@
 
   /** Returns whether neither an incomplete message nor an unread answer is outstanding. */
   boolean isSettled() {
-    return messageStartedAt == Connection.NEVER && writeBlockedSince == Connection.NEVER;
+    return messageStartedAt == Connection.NEVER && !isWriteBlocked();
   }
 
   /**
--- a/src/test/java/mothwing/net/ReadTimeoutTest.java
+++ b/src/test/java/mothwing/net/ReadTimeoutTest.java
@@ -5,7 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.Arrays;
 import java.util.List;
@@ -216,6 +219,78 @@
     assertFalse(channel.isOpen());
   }
 
+  /**
+   * Guards against a request that fails because this process does not read: its remainder lies in
+   * the socket while the gateway reads its answers slowly.
+   */
+  @Example
+  void countsNoTimeWhileUnreadAnswersHoldUpItsOwnReads() {
+    sendOrders(1);
+    byte[] slow = request(CUT_REQUEST, BrokerFixture.ORDER);
+    send(Arrays.copyOf(slow, 40));
+    advance(PEER_TIMEOUT - SECOND / 2);
+    channel.config().setWriteBufferWaterMark(new WriteBufferWaterMark(1, 2));
+    channel
+        .unsafe()
+        .outboundBuffer()
+        .addMessage(Unpooled.wrappedBuffer(new byte[8]), 8, channel.newPromise());
+    assertFalse(channel.config().isAutoRead());
+    for (int i = 0; i < 50; i++) { // a second; the channel is not flushed meanwhile
+      fixture.pass(SECOND / 50);
+      table.closeExpired(idleLimit, idleReason);
+    }
+    assertEquals(0, fixture.counters.get("fastcgi-rejected-half-sent"));
+    channel.flush();
+    assertTrue(channel.config().isAutoRead());
+    channel.writeInbound(Unpooled.copiedBuffer(slow, 40, slow.length - 40));
+    assertEquals(2, fixture.counters.get("fastcgi-requests"));
+    channel.releaseOutbound();
+  }
+
+  /** A connection with messages of one byte 'x' behind any others; its socket has one to read. */
+  private final class UnreadConnection extends Connection {
+    private boolean unread = true;
+
+    UnreadConnection() {
+      super("test", 100, fixture.lines::add, fixture.counters);
+    }
+
+    @Override
+    protected boolean decode(ByteBuf in) {
+      int end = in.bytesBefore((byte) 'x');
+      if (end < 0) {
+        return false;
+      }
+      in.skipBytes(end + 1);
+      markIdentified();
+      return true;
+    }
+
+    @Override
+    void readNow() {
+      if (unread) {
+        unread = false;
+        channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {'x'}));
+      }
+    }
+
+    @Override
+    protected void onClosed() {
+      // there is no state to release
+    }
+  }
+
+  /** Guards against a timeout of a message that has arrived and was not read yet. */
+  @Example
+  void readsTheSocketBeforeATimeout() {
+    for (byte[] beginning : new byte[][] {{}, {'a'}}) {
+      channel = open(new UnreadConnection());
+      channel.writeInbound(Unpooled.wrappedBuffer(beginning));
+      advance(PEER_TIMEOUT + SECOND / 10);
+      assertTrue(channel.isOpen());
+    }
+  }
+
   /** Guards against the same loss on AJP, where the next packet may be cut. */
   @Example
   void answersAjpRequestBeforeItClosesOverACutPacket() {
