--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# A dynamic update with a malformed record.
+# A server that operators drained is upgraded.
 # Ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -f target/mothwing.jar ] && [ -d target/review-2 ] || { echo "not built"; exit 2; }
-exec java -cp target/review-2 CaseRecord "$folder"
+exec java -cp target/review-2 CaseDrained "$folder"
--- a/review/stand-ins-2/Lab.java
+++ b/review/stand-ins-2/Lab.java
@@ -60,6 +60,9 @@
     volatile boolean wasReset;
     volatile int answers;
     final AtomicLong runs = new AtomicLong();
+    double reserveKb = 24.5;
+    volatile long runStartedAt;
+    volatile long runEndedAt;
 
     boolean isOver() {
       return answeredAt > 0 || connectionEnded || aborted;
@@ -481,7 +484,7 @@
       params.put("HTTP_ACCEPTED_AT_MS", Long.toString(request.acceptedAt));
       params.put("HTTP_CLIENT_NO", "4");
       params.put("HTTP_PROJECT", request.project);
-      params.put("HTTP_RESERVE_KB", "24.5");
+      params.put("HTTP_RESERVE_KB", Double.toString(request.reserveKb));
       params.put("HTTP_STANDING", "0.9250");
       if (request.maxWaitMs >= 0) {
         params.put("HTTP_MAX_WAIT_MS", Long.toString(request.maxWaitMs));
@@ -631,6 +634,24 @@
     return request;
   }
 
+  /**
+   * The memory that the platform books now, in KB: a request's figure from 0.1 s after it was
+   * written, or from its run, until it is answered or given up; the run factor times as much while
+   * it runs or is paused.
+   */
+  double bookedKb(double runFactor) {
+    long at = now();
+    double sum = 0;
+    for (Request request : requests.values()) {
+      if (request.runStartedAt > 0 && request.runEndedAt == 0) {
+        sum += request.reserveKb * runFactor;
+      } else if (request.writtenAt > 0 && request.writtenAt + 100 <= at && !request.isOver()) {
+        sum += request.reserveKb;
+      }
+    }
+    return sum;
+  }
+
   // ---------------------------------------------------------------- worker pool
 
   /** What a run does. */
@@ -669,6 +690,9 @@
     volatile int callsPerRun;
     volatile int closedForNoCommand;
     volatile int foreignReplies;
+
+    /** The gauges, where they are not those of runs that keep a core busy each. */
+    volatile java.util.function.Supplier<String> meters;
     volatile java.util.function.BiConsumer<String, String> onCommand = (action, uid) -> {};
 
     Pool(Work work) throws IOException {
@@ -776,8 +800,10 @@
       switch (action) {
         case "poll" -> {
           long running = runs.values().stream().filter(run -> run.running).count();
+          String gauges =
+              meters != null ? meters.get() : Math.min(1, running / 6.0) + "," + running + ",0.1,5";
           tell("{\"action\":\"polled\",\"echo\":\"" + field(line, "echo") + "\",\"meters\":["
-              + Math.min(1, running / 6.0) + "," + running + ",0.1,5]}");
+              + gauges + "]}");
         }
         case "verify" -> tell("{\"action\":\"verified\",\"echo\":\"" + field(line, "echo")
             + "\",\"code\":\"done\"}");
@@ -817,6 +843,7 @@
       Run run = new Run(request, work.ms(request));
       runs.put(uid, run);
       request.runs.incrementAndGet();
+      request.runStartedAt = now();
       note("run " + uid + " " + request.requestClass
           + (request.key == null ? "" : " key=" + request.key));
       go(run);
@@ -855,6 +882,7 @@
     private void finish(Run run, String code, byte[] result) {
       run.ended = true;
       run.running = false;
+      run.request.runEndedAt = now();
       note("run ended " + run.request.id + " " + code);
       notice("finished", run.request.id, "\"code\":\"" + code + "\",\"wall_ms\":"
           + Math.max(1, now() - run.since) + ",\"content\":\""
@@ -871,6 +899,7 @@
       run.leftMs = run.leftMs < 0 ? run.leftMs : Math.max(0, run.leftMs - (now() - run.since));
       note("run suspended " + uid);
       run.ended = run.request.isOver();
+      run.request.runEndedAt = run.ended ? now() : 0;
       notice("finished", uid, "\"code\":\"aborted\",\"wall_ms\":1,\"content\":\"\"");
     }
 
