--- a/review/stand-ins-2/CaseDrained.java
+++ b/review/stand-ins-2/CaseDrained.java
@@ -8,7 +8,7 @@
 
   public static void main(String[] arguments) throws Exception {
     int code;
-    try (Lab lab = new Lab(arguments[0])) {
+    try (Lab lab = new Lab(arguments[0], arguments[1])) {
       code = run(lab);
     }
     System.exit(code);
--- a/review/stand-ins-2/Lab.java
+++ b/review/stand-ins-2/Lab.java
@@ -88,13 +88,14 @@
           });
   private long ids = System.nanoTime() & 0xffffffL;
 
-  Lab(String folder) throws IOException {
+  /** A case in its folder; trouble is 0 for a play without the disruption, else 1. */
+  Lab(String folder, String trouble) throws IOException {
     this.folder = Path.of(folder).toAbsolutePath();
     root = this.folder.getParent().getParent();
-    trouble = !"0".equals(System.getenv("TROUBLE"));
+    this.trouble = !trouble.equals("0");
     temporary = Files.createTempDirectory("review-case-");
     record = new PrintWriter(Files.newBufferedWriter(this.folder.resolve("record.txt")), true);
-    note("trouble=" + (trouble ? 1 : 0));
+    note("trouble=" + (this.trouble ? 1 : 0));
   }
 
   long now() {
